Serve one request from caller to engine and back, as separate processes

Cause: the project needs its thinnest whole path before anything else. Design: the entry daemon ranks engines for the chat by weighted rendezvous hashing and forwards over drpc to the engine's home daemon, which admits, dispatches and streams back. Ruled out for now: per-daemon counting (each sees a sliver of an engine's load) and permits asked of an owner for each request (a control message per request). Failures found on the way: a stream whose connection to the engine broke was reported incomplete; the home now resumes it from its last event, and TestStreamOutlivesACutToTheEngine failed before and passes after.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Everything a developer runs; .ci/run calls these targets.
+.PHONY: build test lint generate demo measure
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 -timeout 30m ./...
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+# Needs protoc; the generated files are committed, so that builds do not.
+generate:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	go install storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
+	PATH="$$PATH:$$(go env GOPATH)/bin" protoc -I internal/protocol/peerpb \
+		--go_out=internal/protocol/peerpb --go_opt=paths=source_relative \
+		--go-drpc_out=internal/protocol/peerpb --go-drpc_opt=paths=source_relative peer.proto
+
+demo: build
+	./scripts/demo.sh
+
+# One JSON object a line; for example make measure ARGS="--seed 7".
+measure: build
+	go run ./cmd/hemlockknot-measure $(ARGS)
--- /dev/null
+++ b/internal/coordination/control/control.go
@@ -0,0 +1,196 @@
+// Package control runs the daemon's control state on one goroutine: membership,
+// engine states, admission, the chat directory and the document in force.
+// Traffic goroutines ask it through Do; nothing else touches the state.
+package control
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"hemlockknot/internal/coordination/admission"
+	"hemlockknot/internal/coordination/health"
+	"hemlockknot/internal/coordination/member"
+	"hemlockknot/internal/coordination/ranking"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/state/directory"
+	"hemlockknot/internal/state/environment"
+)
+
+// queueLength is how many operations wait for the control goroutine before
+// their senders block.
+const queueLength = 1024
+
+// Snapshot is the document in force.
+type Snapshot struct {
+	Generation uint64
+	Document   *environment.Document
+	Text       []byte
+}
+
+// State is what the control goroutine owns. Only functions passed to Do may
+// touch it.
+type State struct {
+	Members   *member.Table
+	Health    *health.Table
+	Admission *admission.Controller
+	Directory *directory.Directory
+	Snapshot  *Snapshot // nil until a document is in force
+
+	watches map[string]chan struct{} // by member, closed when it goes down
+}
+
+// Loop runs the control goroutine.
+type Loop struct {
+	operations chan func()
+	stopped    chan struct{}
+	state      *State
+	snapshot   atomic.Pointer[Snapshot]
+}
+
+// New returns a loop for the daemon that self describes. Run starts it.
+func New(self *peerpb.Member) *Loop {
+	engines := health.New()
+	return &Loop{
+		operations: make(chan func(), queueLength),
+		stopped:    make(chan struct{}),
+		state: &State{
+			Members:   member.New(self),
+			Health:    engines,
+			Admission: admission.New(engines.Takes),
+			Directory: directory.New(),
+			watches:   make(map[string]chan struct{}),
+		},
+	}
+}
+
+// Run executes operations until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.stopped)
+	for {
+		select {
+		case operation := <-l.operations:
+			operation()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Do runs a function on the control goroutine and waits for it. The function
+// must not block. Do reports false, without having run it, if the loop has
+// stopped.
+func (l *Loop) Do(operation func(state *State, now time.Time)) bool {
+	done := make(chan struct{})
+	wrapped := func() {
+		operation(l.state, time.Now())
+		close(done)
+	}
+	select {
+	case l.operations <- wrapped:
+	case <-l.stopped:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
+// Snapshot returns the document in force, or nil. Any goroutine may call it.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Apply puts a document in force if its generation is higher than the present
+// one; generations never fall. It reports whether it did.
+func (l *Loop) Apply(next *Snapshot) bool {
+	applied := false
+	l.Do(func(state *State, _ time.Time) {
+		if state.Snapshot != nil && next.Generation <= state.Snapshot.Generation {
+			return
+		}
+		state.Snapshot = next
+		state.Admission.SetDocument(next.Document)
+		l.snapshot.Store(next)
+		applied = true
+	})
+	return applied
+}
+
+// Admit takes a request for an engine, or says why not. What it took must be
+// given back with Release.
+func (l *Loop) Admit(_ context.Context, request admission.Request) *refusal.Refusal {
+	refused := refusal.NotRun(refusal.Stopping, 0, "admit: the daemon has stopped")
+	l.Do(func(state *State, now time.Time) {
+		refused = state.Admission.Admit(request)
+	})
+	return refused
+}
+
+// Release gives back what Admit took.
+func (l *Loop) Release(request admission.Request) {
+	l.Do(func(state *State, _ time.Time) {
+		state.Admission.Release(request)
+	})
+}
+
+// WatchDown returns a channel that is closed when a member goes down.
+func (s *State) WatchDown(member string) <-chan struct{} {
+	watch := s.watches[member]
+	if watch == nil {
+		watch = make(chan struct{})
+		s.watches[member] = watch
+	}
+	return watch
+}
+
+// Tick notices the members that have gone down. The driver calls it a few times
+// a second.
+func (s *State) Tick(now time.Time) {
+	s.Members.Beat()
+	s.Members.Expire(now)
+	for name, watch := range s.watches {
+		if !s.Members.Alive(name, now) {
+			close(watch)
+			delete(s.watches, name)
+		}
+	}
+	for name := range s.Admission.PeerLoads() {
+		if !s.Members.Alive(name, now) {
+			s.Admission.DropPeer(name)
+		}
+	}
+}
+
+// Candidates returns the engines of a service that take new work, best first
+// for a chat. An engine that is known to hold the chat's context comes first.
+func (s *State) Candidates(service string, chat uint64, now time.Time) []string {
+	var candidates []ranking.Candidate
+	for _, engine := range s.Snapshot.Document.EnginesOf(service) {
+		if s.Health.Takes(engine.Name) {
+			candidates = append(candidates, ranking.Candidate{
+				Name:   engine.Name,
+				Weight: float64(engine.Capacity),
+			})
+		}
+	}
+	order := ranking.Order(chat, candidates)
+	warm, known := s.Directory.Lookup(chat, now)
+	if position := slices.Index(order, warm); known && position > 0 {
+		order = slices.Insert(slices.Delete(order, position, position+1), 0, warm)
+	}
+	return order
+}
+
+// HomeOf returns the home daemon of an engine, passing over excluded daemons.
+func (s *State) HomeOf(engineName string, excluded []string, now time.Time) *peerpb.Member {
+	engine := s.Snapshot.Document.Engine(engineName)
+	if engine == nil {
+		return nil
+	}
+	domain := s.Snapshot.Document.FailureDomainOf(engine)
+	return s.Members.HomeOf(engineName, domain, excluded, now)
+}
--- /dev/null
+++ b/internal/coordination/home/home.go
@@ -0,0 +1,245 @@
+// Package home serves forwarded calls as the home daemon of their engine: it
+// admits a call, asks the entry daemon for its permission where that is
+// needed, dispatches the call to the engine and streams the answer back.
+package home
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hemlockknot/internal/coordination/admission"
+	"hemlockknot/internal/coordination/control"
+	"hemlockknot/internal/coordination/health"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/protocol/targetapi"
+)
+
+// Link is the home daemon's end of one exchange. The drpc server stream
+// satisfies it, and so does an in-process pipe.
+type Link interface {
+	Context() context.Context
+	Send(*peerpb.ForwardDown) error
+	Recv() (*peerpb.ForwardUp, error)
+}
+
+// Server serves forwarded calls.
+type Server struct {
+	loop    *control.Loop
+	targets targetapi.Caller
+
+	mu       sync.Mutex
+	draining bool
+	active   sync.WaitGroup // exchanges in progress
+}
+
+// New returns a server that dispatches through targets.
+func New(loop *control.Loop, targets targetapi.Caller) *Server {
+	return &Server{loop: loop, targets: targets}
+}
+
+// Serve handles one exchange. The error is that of the link; what becomes of
+// the call itself is said on the link.
+func (s *Server) Serve(link Link) error {
+	if !s.begin() {
+		return refuse(link, refusal.NotRun(refusal.Stopping, time.Second, "the home daemon is stopping"))
+	}
+	defer s.active.Done()
+	first, err := link.Recv()
+	if err != nil {
+		return fmt.Errorf("receive call: %w", err)
+	}
+	call := first.GetCall()
+	if call == nil {
+		return refuse(link, refusal.NotRun(refusal.Internal, 0, "the first message of an exchange is no call"))
+	}
+	return s.serveCall(link, call)
+}
+
+// begin counts an exchange as in progress, unless the daemon is stopping.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.active.Add(1)
+	return true
+}
+
+// Drain refuses new exchanges and waits for those in progress.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	drained := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(drained)
+	}()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Server) serveCall(link Link, call *peerpb.Call) error {
+	snapshot := s.loop.Snapshot()
+	if snapshot == nil {
+		return refuse(link, refusal.NotRun(refusal.NotReady, time.Second, "no document is in force"))
+	}
+	engine := snapshot.Document.Engine(call.GetEngine())
+	if engine == nil {
+		return refuse(link, refusal.NotRun(refusal.EngineUnknown, 0, "engine %s is not in the document", call.GetEngine()))
+	}
+	request := admissionRequest(call)
+	if refused := s.loop.Admit(link.Context(), request); refused != nil {
+		return refuse(link, refused)
+	}
+	defer s.loop.Release(request)
+	if refused := askStart(link, call); refused != nil {
+		return refuse(link, refused)
+	}
+	return s.dispatch(link, call, engine.Address, snapshot.Generation)
+}
+
+func admissionRequest(call *peerpb.Call) admission.Request {
+	wait := time.Duration(call.GetDeadlineMs()) * time.Millisecond
+	return admission.Request{
+		ID:         call.GetRequestId(),
+		Service:    call.GetService(),
+		Engine:     call.GetEngine(),
+		Workspace:  call.GetWorkspace(),
+		Priority:   call.GetPriority(),
+		Deadline:   time.Now().Add(wait),
+		LastResort: call.GetLastResort(),
+	}
+}
+
+// askStart asks the entry daemon for permission to dispatch a call that must
+// not be repeated. Without it nothing runs, so an entry that has not given it
+// knows that the call did not run, whatever becomes of this daemon.
+func askStart(link Link, call *peerpb.Call) *refusal.Refusal {
+	if !call.GetAskStart() {
+		return nil
+	}
+	ask := &peerpb.ForwardDown{Body: &peerpb.ForwardDown_AskStart{AskStart: &peerpb.AskStart{}}}
+	if err := link.Send(ask); err != nil {
+		return refusal.NotRun(refusal.StartDenied, 0, "ask entry for permission: %v", err)
+	}
+	answer, err := link.Recv()
+	if err != nil {
+		return refusal.NotRun(refusal.StartDenied, 0, "receive permission: %v", err)
+	}
+	if !answer.GetPermission().GetGranted() {
+		return refusal.NotRun(refusal.StartDenied, 0, "the entry denied permission")
+	}
+	return nil
+}
+
+// dispatch sends the call to the engine and streams the answer back.
+func (s *Server) dispatch(link Link, call *peerpb.Call, address string, generation uint64) error {
+	ctx, cancel := context.WithCancel(link.Context())
+	defer cancel()
+	go s.watchCancel(ctx, cancel, link, address, call.GetRequestId())
+	answer, refused := s.targets.Call(ctx, targetCall(call, address, generation))
+	if refused != nil {
+		s.noteRefusal(call.GetEngine(), refused)
+		return refuse(link, refused)
+	}
+	s.remember(call)
+	if answer.Events == nil {
+		return relayBody(link, call, answer)
+	}
+	relay := newRelay(s.targets, link, targetCall(call, address, generation), call.GetEngine(), answer)
+	return relay.run(ctx)
+}
+
+// watchCancel cancels the engine's work when the entry says that the caller is
+// gone. When the link is merely lost the engine's stream is left to run, so that
+// the entry can resume it through another home.
+func (s *Server) watchCancel(ctx context.Context, cancel context.CancelFunc, link Link, address, requestID string) {
+	for {
+		message, err := link.Recv()
+		if err != nil {
+			return
+		}
+		if message.GetCancel() != nil {
+			s.targets.Cancel(context.WithoutCancel(ctx), address, requestID)
+			cancel()
+			return
+		}
+	}
+}
+
+// relayBody passes on an answer that is no stream.
+func relayBody(link Link, call *peerpb.Call, answer *targetapi.Answer) error {
+	if err := sendStart(link, call.GetEngine(), answer); err != nil {
+		return fmt.Errorf("start answer of request %s: %w", call.GetRequestId(), err)
+	}
+	return sendBody(link, answer.Body)
+}
+
+// sendStart tells the entry that the engine has started to answer.
+func sendStart(link Link, engine string, answer *targetapi.Answer) error {
+	started := &peerpb.Started{Engine: engine}
+	if err := link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Started{Started: started}}); err != nil {
+		return err
+	}
+	head := &peerpb.Head{Status: uint32(answer.Status), Headers: answer.Headers}
+	return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Head{Head: head}})
+}
+
+func (s *Server) remember(call *peerpb.Call) {
+	if call.GetChatKey() == 0 {
+		return
+	}
+	s.loop.Do(func(state *control.State, now time.Time) {
+		state.Directory.Remember(call.GetChatKey(), call.GetEngine(), now)
+	})
+}
+
+// noteRefusal takes an engine that says it is draining out of use.
+func (s *Server) noteRefusal(engine string, refused *refusal.Refusal) {
+	if refused.Reason != refusal.EngineLeaving {
+		return
+	}
+	s.loop.Do(func(state *control.State, now time.Time) {
+		state.Health.Note(engine, health.Leaving, health.SourceRefusal, now)
+	})
+}
+
+func targetCall(call *peerpb.Call, address string, generation uint64) targetapi.Call {
+	return targetapi.Call{
+		Address:    address,
+		RequestID:  call.GetRequestId(),
+		Method:     call.GetMethod(),
+		Path:       call.GetPath(),
+		Headers:    call.GetHeaders(),
+		Body:       call.GetBody(),
+		Priority:   call.GetPriority(),
+		Generation: generation,
+		Repeatable: call.GetRepeatable(),
+		Resume:     call.GetResume(),
+	}
+}
+
+func sendBody(link Link, body []byte) error {
+	data := &peerpb.Data{Body: body}
+	if err := link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Data{Data: data}}); err != nil {
+		return fmt.Errorf("send body to entry: %w", err)
+	}
+	return sendEnd(link)
+}
+
+func sendEnd(link Link) error {
+	return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_End{End: &peerpb.End{}}})
+}
+
+func refuse(link Link, refused *refusal.Refusal) error {
+	return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Refusal{Refusal: refused.Message()}})
+}
--- /dev/null
+++ b/internal/coordination/route/route.go
@@ -0,0 +1,232 @@
+// Package route decides, try by try, where the entry daemon sends one request.
+// It is a state machine without I/O or clock: the caller reports what became of
+// each try and asks for the next.
+package route
+
+import (
+	"slices"
+	"time"
+
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+)
+
+// Limits on the tries of one request.
+const (
+	MaxEngines = 4 // engines tried for one request
+	MaxHomes   = 4 // home daemons lost or unreachable for one request
+)
+
+// retryAfterNoEngine is when a caller may come back to a service that has no
+// engine to offer.
+const retryAfterNoEngine = 2 * time.Second
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	// Repeatable says whether the request may run more than once.
+	Repeatable bool
+	// Resumable says whether an interrupted answer can go on at its engine.
+	Resumable bool
+}
+
+// Try is one attempt: the engine to use, and the daemons not to use as home.
+type Try struct {
+	Engine        string
+	ExcludedHomes []string
+	Resume        *peerpb.Resume
+	LastResort    bool // no other candidate is left after this one
+}
+
+// Trace is what became of one try, for operators.
+type Trace struct {
+	Engine string         `json:"engine"`
+	Home   string         `json:"home"`
+	Reason refusal.Reason `json:"reason,omitempty"` // empty: served
+	Detail string         `json:"detail,omitempty"`
+}
+
+// Route is the state of one request at its entry daemon.
+type Route struct {
+	request    Request
+	candidates []string // still to be tried, best first
+	current    string
+	engines    int // tried so far
+	homes      []string
+	sameEngine bool // the next try goes to the current engine's next home
+	mayRun     bool // the current try may have been dispatched
+	started    bool // the engine has started the current try
+	offset     uint64
+	final      *refusal.Refusal
+	last       *refusal.Refusal
+	trace      []Trace
+}
+
+// New returns the route of a request with its candidates, best first.
+func New(request Request, candidates []string) *Route {
+	return &Route{request: request, candidates: slices.Clone(candidates)}
+}
+
+// Trace returns what became of the tries so far.
+func (r *Route) Trace() []Trace { return r.trace }
+
+// Offset returns the last event that the caller has received.
+func (r *Route) Offset() uint64 { return r.offset }
+
+// Next returns the next try, or the final refusal.
+func (r *Route) Next() (Try, *refusal.Refusal) {
+	if r.final != nil {
+		return Try{}, r.final
+	}
+	if r.sameEngine {
+		r.sameEngine = false
+		return r.try(), nil
+	}
+	if len(r.candidates) == 0 || r.engines >= MaxEngines {
+		return Try{}, r.exhausted()
+	}
+	r.current = r.candidates[0]
+	r.candidates = r.candidates[1:]
+	r.engines++
+	r.started = false
+	return r.try(), nil
+}
+
+func (r *Route) try() Try {
+	r.mayRun = false
+	try := Try{
+		Engine:        r.current,
+		ExcludedHomes: slices.Clone(r.homes),
+		LastResort:    len(r.candidates) == 0 || r.engines >= MaxEngines,
+	}
+	if r.started {
+		try.Resume = &peerpb.Resume{Engine: r.current, Offset: r.offset}
+	}
+	return try
+}
+
+// exhausted returns the refusal when no candidate is left.
+func (r *Route) exhausted() *refusal.Refusal {
+	if r.last != nil {
+		return r.last
+	}
+	return refusal.NotRun(refusal.NoEngine, retryAfterNoEngine, "route: no engine of the service takes new work")
+}
+
+// Sent notes that the current try is on its way: from now on its home may
+// dispatch it, unless the entry's permission is needed first.
+func (r *Route) Sent() { r.mayRun = true }
+
+// Held notes that the current try waits for the entry's permission, which was
+// not given: it cannot have run.
+func (r *Route) Held() { r.mayRun = false }
+
+// Started notes that the engine has started the request.
+func (r *Route) Started() { r.started = true }
+
+// Progress notes the last event passed on to the caller.
+func (r *Route) Progress(offset uint64) { r.offset = max(r.offset, offset) }
+
+// NoHome notes that no daemon is left to be the current engine's home.
+func (r *Route) NoHome() {
+	refused := refusal.NotRun(refusal.HomeUnreachable, retryAfterNoEngine, "route: no home daemon is left for engine %s", r.current)
+	if r.started {
+		r.fail("", refusal.Unknown(refusal.HomeLost, "route: no home daemon is left for engine %s", r.current))
+		return
+	}
+	r.note("", refused)
+}
+
+// Refused notes that a home refused the current try.
+func (r *Route) Refused(home string, refused *refusal.Refusal) {
+	if !spills(refused.Reason) {
+		r.fail(home, refused)
+		return
+	}
+	if refused.DidNotRun() {
+		if r.offset > 0 {
+			r.fail(home, refusal.Unknown(refusal.AnswerIncomplete, "resume at engine %s: %s", r.current, refused.Detail))
+			return
+		}
+		r.prefer(refused.Better)
+		r.note(home, refused)
+		return
+	}
+	if !r.request.Repeatable || r.offset > 0 {
+		r.fail(home, refused)
+		return
+	}
+	r.note(home, refused)
+}
+
+// spills reports whether another engine may take a request refused so.
+func spills(reason refusal.Reason) bool {
+	switch reason {
+	case refusal.EngineBusy, refusal.EngineLeaving, refusal.EngineUnknown,
+		refusal.EngineFailed, refusal.AnswerIncomplete, refusal.AnswerMismatch,
+		refusal.NotReady, refusal.Stopping, refusal.HomeUnreachable:
+		return true
+	}
+	return false
+}
+
+// prefer moves the engine that a home has recommended to the front, if it has
+// not been tried.
+func (r *Route) prefer(engine string) {
+	position := slices.Index(r.candidates, engine)
+	if position > 0 {
+		r.candidates = slices.Delete(r.candidates, position, position+1)
+		r.candidates = slices.Insert(r.candidates, 0, engine)
+	}
+}
+
+// HomeFailed notes that the connection to the home was lost, or could not be
+// made, before the answer was complete.
+func (r *Route) HomeFailed(home string, err error) {
+	r.homes = append(r.homes, home)
+	if r.mayRun && !r.request.Repeatable && !r.request.Resumable {
+		r.fail(home, refusal.Unknown(refusal.HomeLost, "home %s of engine %s: %v", home, r.current, err))
+		return
+	}
+	if r.offset > 0 && !r.request.Resumable {
+		r.fail(home, refusal.Unknown(refusal.AnswerIncomplete, "home %s of engine %s: %v", home, r.current, err))
+		return
+	}
+	lost := refusal.NotRun(refusal.HomeUnreachable, retryAfterNoEngine, "home %s of engine %s: %v", home, r.current, err)
+	if r.mayRun {
+		lost.Outcome = peerpb.Outcome_OUTCOME_UNKNOWN
+		r.started = r.request.Resumable
+	}
+	if len(r.homes) >= MaxHomes {
+		r.fail(home, lost)
+		return
+	}
+	r.note(home, lost)
+	r.sameEngine = true
+}
+
+// Served notes that the answer is complete.
+func (r *Route) Served(home string) {
+	r.trace = append(r.trace, Trace{Engine: r.current, Home: home})
+}
+
+func (r *Route) note(home string, refused *refusal.Refusal) {
+	r.keepWorst(refused)
+	r.trace = append(r.trace, Trace{Engine: r.current, Home: home, Reason: refused.Reason, Detail: refused.Detail})
+}
+
+// keepWorst remembers the refusal to end with. Once a try may have run, no
+// later refusal says "not run".
+func (r *Route) keepWorst(refused *refusal.Refusal) {
+	mayHaveRun := r.last != nil && !r.last.DidNotRun()
+	r.last = refused
+	if mayHaveRun && refused.DidNotRun() {
+		copied := *refused
+		copied.Outcome = peerpb.Outcome_OUTCOME_UNKNOWN
+		r.last = &copied
+	}
+}
+
+func (r *Route) fail(home string, refused *refusal.Refusal) {
+	r.note(home, refused)
+	r.final = r.last
+}
--- /dev/null
+++ b/internal/protocol/refusal/refusal.go
@@ -0,0 +1,145 @@
+// Package refusal holds the typed refusals that callers receive in place of an
+// answer. A refusal has a stable reason code, says whether the request ran, and
+// says when coming back helps.
+package refusal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"hemlockknot/internal/protocol/peerpb"
+)
+
+// Reason is a stable code for why a request was refused. docs/ERRORS.md lists
+// what each one means to a caller.
+type Reason string
+
+// The reasons a request can be refused for.
+const (
+	MalformedRequest  Reason = "malformed_request"
+	BodyTooLarge      Reason = "body_too_large"
+	BodyIncomplete    Reason = "body_incomplete"
+	UnknownKey        Reason = "unknown_key"
+	UnknownModel      Reason = "unknown_model"
+	UnknownPath       Reason = "unknown_path"
+	UnknownClass      Reason = "unknown_class"
+	NotReady          Reason = "not_ready"
+	Stopping          Reason = "stopping"
+	EngineBusy        Reason = "engine_busy"
+	EngineLeaving     Reason = "engine_leaving"
+	EngineUnknown     Reason = "engine_unknown"
+	EngineFailed      Reason = "engine_failed"
+	NoEngine          Reason = "no_engine"
+	WorkspaceLimit    Reason = "workspace_limit"
+	DeadlineUnmet     Reason = "deadline_unmet"
+	HomeUnreachable   Reason = "home_unreachable"
+	HomeLost          Reason = "home_lost"
+	StartDenied       Reason = "start_denied"
+	AnswerIncomplete  Reason = "answer_incomplete"
+	AnswerMismatch    Reason = "answer_mismatch"
+	AnswerTooLarge    Reason = "answer_too_large"
+	PlatformAway      Reason = "platform_away"
+	KeyInUse          Reason = "idempotency_key_in_use"
+	KeyOutcomeUnknown Reason = "idempotency_key_outcome_unknown"
+	KeyMismatch       Reason = "idempotency_key_mismatch"
+	CallerGone        Reason = "caller_gone"
+	Internal          Reason = "internal"
+)
+
+// statuses gives the HTTP status of each reason; the default is 503.
+var statuses = map[Reason]int{
+	MalformedRequest:  http.StatusBadRequest,
+	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	BodyIncomplete:    http.StatusBadRequest,
+	UnknownKey:        http.StatusUnauthorized,
+	UnknownModel:      http.StatusNotFound,
+	UnknownPath:       http.StatusNotFound,
+	UnknownClass:      http.StatusBadRequest,
+	WorkspaceLimit:    http.StatusTooManyRequests,
+	EngineFailed:      http.StatusBadGateway,
+	HomeLost:          http.StatusBadGateway,
+	AnswerIncomplete:  http.StatusBadGateway,
+	AnswerMismatch:    http.StatusBadGateway,
+	AnswerTooLarge:    http.StatusBadGateway,
+	KeyInUse:          http.StatusConflict,
+	KeyOutcomeUnknown: http.StatusConflict,
+	KeyMismatch:       http.StatusUnprocessableEntity,
+	Internal:          http.StatusInternalServerError,
+}
+
+// Refusal is an error that a caller receives in place of an answer.
+type Refusal struct {
+	Reason     Reason
+	Outcome    peerpb.Outcome
+	RetryAfter time.Duration // 0: coming back does not help
+	Detail     string        // for people; names the step and the peer
+	Better     string        // an engine that would take the request, if known
+}
+
+// NotRun returns a refusal of a request that certainly did not run.
+func NotRun(reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{
+		Reason:     reason,
+		Outcome:    peerpb.Outcome_OUTCOME_NOT_RUN,
+		RetryAfter: retryAfter,
+		Detail:     fmt.Sprintf(format, args...),
+	}
+}
+
+// Unknown returns a refusal of a request that may have run.
+func Unknown(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{
+		Reason:  reason,
+		Outcome: peerpb.Outcome_OUTCOME_UNKNOWN,
+		Detail:  fmt.Sprintf(format, args...),
+	}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.OutcomeText(), r.Detail)
+}
+
+// DidNotRun reports whether the request certainly did not run.
+func (r *Refusal) DidNotRun() bool {
+	return r.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN
+}
+
+// OutcomeText returns the outcome as callers see it: "not_run" or "unknown".
+func (r *Refusal) OutcomeText() string {
+	if r.DidNotRun() {
+		return "not_run"
+	}
+	return "unknown"
+}
+
+// Status returns the HTTP status for the refusal.
+func (r *Refusal) Status() int {
+	if status, ok := statuses[r.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Message returns the refusal as daemons send it to each other.
+func (r *Refusal) Message() *peerpb.Refusal {
+	return &peerpb.Refusal{
+		Reason:       string(r.Reason),
+		Outcome:      r.Outcome,
+		RetryAfterMs: uint32(r.RetryAfter / time.Millisecond),
+		Detail:       r.Detail,
+		BetterEngine: r.Better,
+	}
+}
+
+// FromMessage is the inverse of Refusal.Message.
+func FromMessage(m *peerpb.Refusal) *Refusal {
+	return &Refusal{
+		Reason:     Reason(m.GetReason()),
+		Outcome:    m.GetOutcome(),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		Detail:     m.GetDetail(),
+		Better:     m.GetBetterEngine(),
+	}
+}
--- /dev/null
+++ b/internal/transport/caller/chat.go
@@ -0,0 +1,139 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"hemlockknot/internal/coordination/entry"
+	"hemlockknot/internal/coordination/ranking"
+	"hemlockknot/internal/protocol/chat"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/protocol/targetapi"
+	"hemlockknot/internal/state/environment"
+)
+
+// chat serves a chat completions request.
+func (s *Server) chat(exchange *exchange) *refusal.Refusal {
+	body, refused := s.readBody(exchange)
+	if refused != nil {
+		return refused
+	}
+	parsed, err := chat.Parse(body)
+	if err != nil {
+		return refusal.NotRun(refusal.MalformedRequest, 0, "%v", err)
+	}
+	service := exchange.snapshot.Document.ServiceByModel(parsed.Model)
+	if service == nil {
+		return refusal.NotRun(refusal.UnknownModel, 0, "no service offers the model %q", parsed.Model)
+	}
+	class, refused := classOf(exchange)
+	if refused != nil {
+		return refused
+	}
+	call := newCall(exchange, service, class, body)
+	call.Path = targetapi.PathChat
+	call.Repeatable = true
+	call.ChatKey = chatKey(exchange, service, parsed)
+	return s.serve(exchange, entry.Request{Call: call, Resumable: parsed.Stream})
+}
+
+// chatKey names the chat: by the caller's header, or else by its opening.
+func chatKey(exchange *exchange, service *environment.Service, parsed *chat.Request) uint64 {
+	name := exchange.r.Header.Get(HeaderChat)
+	if name != "" {
+		return ranking.Hash("chat", exchange.workspace.Name, service.Name, name)
+	}
+	return ranking.Hash("opening", exchange.workspace.Name, service.Name, parsed.Opening())
+}
+
+// classOf returns the class that a request names, or its workspace's.
+func classOf(exchange *exchange) (*environment.Class, *refusal.Refusal) {
+	name := exchange.r.Header.Get(HeaderClass)
+	if name == "" {
+		name = exchange.workspace.Class
+	}
+	class := exchange.snapshot.Document.Class(name)
+	if class == nil && name != "" {
+		return nil, refusal.NotRun(refusal.UnknownClass, 0, "the document has no class %q", name)
+	}
+	if class == nil {
+		class = &environment.Class{Deadline: environment.Duration(environment.DefaultDeadline)}
+	}
+	return class, nil
+}
+
+func newCall(exchange *exchange, service *environment.Service, class *environment.Class, body []byte) *peerpb.Call {
+	return &peerpb.Call{
+		RequestId:  exchange.id,
+		Service:    service.Name,
+		Workspace:  exchange.workspace.Name,
+		Class:      class.Name,
+		Priority:   class.Priority,
+		DeadlineMs: uint32(time.Duration(class.Deadline) / time.Millisecond),
+		Generation: exchange.snapshot.Generation,
+		Method:     exchange.r.Method,
+		Path:       exchange.r.URL.RequestURI(),
+		Headers:    forwardedHeaders(exchange.r.Header),
+		Body:       body,
+	}
+}
+
+// keptHeaders are the caller's headers that targets receive.
+var keptHeaders = []string{"Accept", "Content-Type", "Idempotency-Key", "User-Agent"}
+
+func forwardedHeaders(header http.Header) []*peerpb.Header {
+	var headers []*peerpb.Header
+	for _, name := range keptHeaders {
+		for _, value := range header.Values(name) {
+			headers = append(headers, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
+
+// serve routes a request and writes its answer.
+func (s *Server) serve(exchange *exchange, request entry.Request) *refusal.Refusal {
+	s.metrics.Request(request.Call.GetService())
+	sink := newSink(exchange, s.limits.WriteTimeout)
+	trace, refused := s.router.Serve(exchange.r.Context(), request, sink)
+	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", trace)
+	if refused != nil && sink.begun {
+		s.metrics.Refused(refused.Reason)
+		s.log.Info("interrupted", "request", exchange.id, "reason", refused.Reason, "detail", refused.Detail)
+		sink.interrupt(refused)
+		return nil
+	}
+	if refused != nil {
+		return refused
+	}
+	sink.finish()
+	return nil
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models of the document in force.
+func (s *Server) models(exchange *exchange) *refusal.Refusal {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, service := range exchange.snapshot.Document.Services {
+		for _, name := range service.Models {
+			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: service.Name})
+		}
+	}
+	exchange.w.Header().Set("Content-Type", "application/json")
+	exchange.w.Header().Set(refusal.HeaderRequestID, exchange.id)
+	_ = json.NewEncoder(exchange.w).Encode(list)
+	return nil
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmigrate"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"hemlockknot/internal/coordination/home"
+	"hemlockknot/internal/protocol/peerpb"
+)
+
+// ControlHandler answers peers' control calls.
+type ControlHandler interface {
+	Sync(ctx context.Context, message *peerpb.SyncMessage) (*peerpb.SyncMessage, error)
+	FetchDocument(ctx context.Context, request *peerpb.DocumentRequest) (*peerpb.DocumentReply, error)
+	Handover(ctx context.Context, request *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
+}
+
+// service joins the home server and the control handler to one drpc service.
+type service struct {
+	ControlHandler
+	home *home.Server
+}
+
+// Forward implements the drpc service.
+func (s service) Forward(stream peerpb.DRPCPeer_ForwardStream) error {
+	return s.home.Serve(stream)
+}
+
+// Serve answers peers on the listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, homeServer *home.Server, handler ControlHandler, counter ByteCounter) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, service{ControlHandler: handler, home: homeServer}); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	server := drpcserver.New(mux)
+	prefixes := drpcmigrate.NewListenMux(listener, len(prefixControl))
+	control := prefixes.Route(prefixControl)
+	traffic := prefixes.Route(prefixTraffic)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return prefixes.Run(ctx) })
+	group.Go(func() error { return server.Serve(ctx, countingListener{control, counter}) })
+	group.Go(func() error { return server.Serve(ctx, traffic) })
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	return nil
+}
