--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -5,16 +5,13 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"hemlockknot/internal/coordination/admission"
 	"hemlockknot/internal/coordination/health"
 	"hemlockknot/internal/coordination/member"
-	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/protocol/peerpb"
-	"hemlockknot/internal/protocol/refusal"
 	"hemlockknot/internal/state/directory"
 	"hemlockknot/internal/state/environment"
 )
@@ -120,23 +117,6 @@
 	return applied
 }
 
-// Admit takes a request for an engine, or says why not. What it took must be
-// given back with Release.
-func (l *Loop) Admit(_ context.Context, request admission.Request) *refusal.Refusal {
-	refused := refusal.NotRun(refusal.Stopping, 0, "admit: the daemon has stopped")
-	l.Do(func(state *State, now time.Time) {
-		refused = state.Admission.Admit(request)
-	})
-	return refused
-}
-
-// Release gives back what Admit took.
-func (l *Loop) Release(request admission.Request) {
-	l.Do(func(state *State, _ time.Time) {
-		state.Admission.Release(request)
-	})
-}
-
 // WatchDown returns a channel that is closed when a member goes down.
 func (s *State) WatchDown(member string) <-chan struct{} {
 	watch := s.watches[member]
@@ -164,33 +144,3 @@
 		}
 	}
 }
-
-// Candidates returns the engines of a service that take new work, best first
-// for a chat. An engine that is known to hold the chat's context comes first.
-func (s *State) Candidates(service string, chat uint64, now time.Time) []string {
-	var candidates []ranking.Candidate
-	for _, engine := range s.Snapshot.Document.EnginesOf(service) {
-		if s.Health.Takes(engine.Name) {
-			candidates = append(candidates, ranking.Candidate{
-				Name:   engine.Name,
-				Weight: float64(engine.Capacity),
-			})
-		}
-	}
-	order := ranking.Order(chat, candidates)
-	warm, known := s.Directory.Lookup(chat, now)
-	if position := slices.Index(order, warm); known && position > 0 {
-		order = slices.Insert(slices.Delete(order, position, position+1), 0, warm)
-	}
-	return order
-}
-
-// HomeOf returns the home daemon of an engine, passing over excluded daemons.
-func (s *State) HomeOf(engineName string, excluded []string, now time.Time) *peerpb.Member {
-	engine := s.Snapshot.Document.Engine(engineName)
-	if engine == nil {
-		return nil
-	}
-	domain := s.Snapshot.Document.FailureDomainOf(engine)
-	return s.Members.HomeOf(engineName, domain, excluded, now)
-}
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -27,17 +27,19 @@
 
 // Server serves forwarded calls.
 type Server struct {
-	loop    *control.Loop
-	targets targetapi.Caller
+	loop          *control.Loop
+	targets       targetapi.Caller
+	failureDomain string // this daemon's
 
 	mu       sync.Mutex
 	draining bool
 	active   sync.WaitGroup // exchanges in progress
 }
 
-// New returns a server that dispatches through targets.
-func New(loop *control.Loop, targets targetapi.Caller) *Server {
-	return &Server{loop: loop, targets: targets}
+// New returns the server of a daemon of a failure domain. It dispatches through
+// targets.
+func New(loop *control.Loop, targets targetapi.Caller, failureDomain string) *Server {
+	return &Server{loop: loop, targets: targets, failureDomain: failureDomain}
 }
 
 // Serve handles one exchange. The error is that of the link; what becomes of
@@ -104,7 +106,7 @@
 	if refused := askStart(link, call); refused != nil {
 		return refuse(link, refused)
 	}
-	return s.dispatch(link, call, engine.Address, snapshot.Generation)
+	return s.dispatch(link, call, snapshot.Document.AddressFor(engine, s.failureDomain), snapshot.Generation)
 }
 
 func admissionRequest(call *peerpb.Call) admission.Request {
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -110,6 +110,15 @@
 	return live
 }
 
+// AddressFor returns the address at which a daemon of a failure domain reaches a
+// member.
+func AddressFor(member *peerpb.Member, failureDomain string) string {
+	if member.GetFailureDomain() != failureDomain && member.GetOutsideAddress() != "" {
+		return member.GetOutsideAddress()
+	}
+	return member.GetAddress()
+}
+
 // HomeOf returns the home daemon of an engine: the highest ranked of the live
 // daemons that are not leaving, those of the engine's failure domain first.
 // The list excluded names daemons to pass over. It returns nil if none is left.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,9 +53,10 @@
 		return nil, err
 	}
 	counters := metrics.New()
-	loop := control.New(self(config, opened.peers))
-	homeServer := home.New(loop, target.NewClient())
-	peers := peer.NewClient(config.Name, homeServer, counters)
+	member := self(config, opened.peers)
+	loop := control.New(member)
+	homeServer := home.New(loop, target.NewClient(), config.FailureDomain)
+	peers := peer.NewClient(member, homeServer, counters)
 	router := entry.New(loop, peers, counters)
 	return &Daemon{
 		settings:  config,
@@ -78,11 +79,12 @@
 		address = peers.Addr().String()
 	}
 	return &peerpb.Member{
-		Name:          config.Name,
-		Address:       address,
-		Place:         config.Place,
-		FailureDomain: config.FailureDomain,
-		Incarnation:   uint64(time.Now().UnixNano()),
+		Name:           config.Name,
+		Address:        address,
+		OutsideAddress: config.AdvertiseOutside,
+		Place:          config.Place,
+		FailureDomain:  config.FailureDomain,
+		Incarnation:    uint64(time.Now().UnixNano()),
 	}
 }
 
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/control"
+	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/protocol/peerpb"
 )
 
@@ -34,9 +35,9 @@
 func (d *Daemon) pickPeer() string {
 	var addresses []string
 	d.loop.Do(func(state *control.State, now time.Time) {
-		for _, member := range state.Members.Live(now) {
-			if member != state.Members.Self() {
-				addresses = append(addresses, member.GetAddress())
+		for _, peer := range state.Members.Live(now) {
+			if peer != state.Members.Self() {
+				addresses = append(addresses, member.AddressFor(peer, state.Members.Self().GetFailureDomain()))
 			}
 		}
 	})
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -106,8 +106,9 @@
 // daemonOptions are the settings of a test daemon that tests vary.
 type daemonOptions struct {
 	failureDomain string
-	platform      string // address; default: the fleet's platform
-	advertise     string
+	platform      string   // address; default: the fleet's platform
+	advertise     string   // see outside; for daemons of the same domain
+	outside       string   // address for daemons of other domains
 	bootstrap     []string // default: the peer addresses of the daemons so far
 	extra         string   // further YAML
 }
@@ -129,6 +130,9 @@
 	if options.advertise != "" {
 		text += "advertise_peers: " + options.advertise + "\n"
 	}
+	if options.outside != "" {
+		text += "advertise_outside: " + options.outside + "\n"
+	}
 	text += "bootstrap_peers:\n"
 	for _, address := range options.bootstrap {
 		text += "  - " + address + "\n"
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -19,6 +19,17 @@
 func startSmallFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := newFleet(t)
+	f.describeSmallFleet()
+	f.addSmallEngines()
+	generation := f.publish()
+	f.addDaemon("d1", daemonOptions{failureDomain: "domain-a"})
+	f.addDaemon("d2", daemonOptions{failureDomain: "domain-b"})
+	f.awaitSettled(generation)
+	return f
+}
+
+// describeSmallFleet writes the small fleet's document but for its engines.
+func (f *fleet) describeSmallFleet() {
 	f.document.Places = []environment.Place{
 		{Name: "place-a", FailureDomain: "domain-a"},
 		{Name: "place-b", FailureDomain: "domain-b"},
@@ -30,15 +41,14 @@
 		}},
 	}
 	f.document.Workspaces = []environment.Workspace{{Name: "members", KeysSHA256: []string{environment.HashKey(testKey)}}}
+}
+
+// addSmallEngines starts the small fleet's targets.
+func (f *fleet) addSmallEngines() {
 	f.addEngine(environment.Engine{Name: "e1", Service: "writer", Place: "place-a", Capacity: 16}, "engine")
 	f.addEngine(environment.Engine{Name: "e2", Service: "writer", Place: "place-a", Capacity: 8}, "engine")
 	f.addEngine(environment.Engine{Name: "e3", Service: "writer", Place: "place-b", Capacity: 16}, "engine")
 	f.addEngine(environment.Engine{Name: "l1", Service: "ledger", Place: "place-a", Capacity: 16}, "service")
-	generation := f.publish()
-	f.addDaemon("d1", daemonOptions{failureDomain: "domain-a"})
-	f.addDaemon("d2", daemonOptions{failureDomain: "domain-b"})
-	f.awaitSettled(generation)
-	return f
 }
 
 func TestOneRequestGoesAllTheWay(t *testing.T) {
--- a/internal/state/environment/document.go
+++ b/internal/state/environment/document.go
@@ -66,6 +66,9 @@
 	Place   string `yaml:"place"`
 	// Address is host:port of the engine's HTTP interface.
 	Address string `yaml:"address"`
+	// OutsideAddress is the address for daemons of other failure domains;
+	// default: Address.
+	OutsideAddress string `yaml:"outside_address"`
 	// Capacity is how many requests the engine runs at once.
 	Capacity int `yaml:"capacity"`
 	// ChecksFencing says whether the engine refuses orders with an old fencing
--- a/internal/state/environment/index.go
+++ b/internal/state/environment/index.go
@@ -99,6 +99,15 @@
 	return ""
 }
 
+// AddressFor returns the address at which a daemon of a failure domain reaches
+// an engine.
+func (d *Document) AddressFor(engine *Engine, failureDomain string) string {
+	if engine.OutsideAddress != "" && d.FailureDomainOf(engine) != failureDomain {
+		return engine.OutsideAddress
+	}
+	return engine.Address
+}
+
 // Workspace returns the workspace of that name, or nil.
 func (d *Document) Workspace(name string) *Workspace { return d.index.workspaces[name] }
 
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -26,6 +26,9 @@
 	// AdvertisePeers is the address at which other daemons reach this one;
 	// default: the peer listener's own address.
 	AdvertisePeers string `yaml:"advertise_peers"`
+	// AdvertiseOutside is the address for daemons of other failure domains;
+	// default: the same.
+	AdvertiseOutside string `yaml:"advertise_outside"`
 	// BootstrapPeers are peer addresses to learn the fleet from.
 	BootstrapPeers []string `yaml:"bootstrap_peers"`
 	// LogLevel is debug, info, warn or error.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -16,6 +16,7 @@
 
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/home"
+	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/protocol/peerpb"
 )
 
@@ -45,13 +46,13 @@
 	traffic *drpcpool.Pool[string, drpcpool.Conn]
 	control *drpcpool.Pool[string, drpcpool.Conn]
 	counter ByteCounter
-	self    string
+	self    *peerpb.Member
 	server  *home.Server
 }
 
-// NewClient returns a client of the daemon named self, whose own home server is
-// called in process.
-func NewClient(self string, server *home.Server, counter ByteCounter) *Client {
+// NewClient returns a client of the daemon that self describes, whose own home
+// server is called in process.
+func NewClient(self *peerpb.Member, server *home.Server, counter ByteCounter) *Client {
 	return &Client{
 		traffic: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleExpiration, KeyCapacity: idlePerPeer}),
 		control: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleExpiration, KeyCapacity: idleControl}),
@@ -62,19 +63,25 @@
 }
 
 // Open implements entry.Opener.
-func (c *Client) Open(ctx context.Context, member *peerpb.Member) (entry.Exchange, error) {
-	if member.GetName() == c.self {
-		return home.NewPipe(ctx, c.server), nil
+func (c *Client) Open(ctx context.Context, home *peerpb.Member) (entry.Exchange, error) {
+	if home.GetName() == c.self.GetName() {
+		return c.openLocal(ctx), nil
 	}
-	conn := c.traffic.Get(ctx, member.GetAddress(), dialer(prefixTraffic, nil))
+	address := member.AddressFor(home, c.self.GetFailureDomain())
+	conn := c.traffic.Get(ctx, address, dialer(prefixTraffic, nil))
 	stream, err := peerpb.NewDRPCPeerClient(conn).Forward(ctx)
 	if err != nil {
 		_ = conn.Close()
-		return nil, fmt.Errorf("open exchange with %s: %w", member.GetName(), err)
+		return nil, fmt.Errorf("open exchange with %s: %w", home.GetName(), err)
 	}
 	return &exchange{stream: stream, conn: conn}, nil
 }
 
+// openLocal opens an exchange with this daemon's own home server.
+func (c *Client) openLocal(ctx context.Context) entry.Exchange {
+	return home.NewPipe(ctx, c.server)
+}
+
 // exchange is a forwarded request on a pooled connection.
 type exchange struct {
 	stream peerpb.DRPCPeer_ForwardClient
