--- a/cmd/hemlockknot-standin/main.go
+++ b/cmd/hemlockknot-standin/main.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/charmbracelet/log"
 
+	"hemlockknot/internal/standin/client"
 	"hemlockknot/internal/standin/engine"
 	"hemlockknot/internal/standin/platform"
 	"hemlockknot/internal/standin/service"
@@ -35,8 +36,19 @@
 	model.Flag("load-lag", "Age of the load report.").Default("500ms").DurationVar(&config.LoadLag)
 	model.Flag("tokens", "Tokens of an answer whose request names no number.").Default("16").IntVar(&config.DefaultToken)
 
+	ask := app.Command("ask", "Ask a model through a daemon, as a caller does.")
+	var question client.Request
+	ask.Flag("base-url", "The daemon's callers' port with /v1.").Required().StringVar(&question.BaseURL)
+	ask.Flag("key", "Bearer key.").Required().StringVar(&question.Key)
+	ask.Flag("model", "Model.").Required().StringVar(&question.Model)
+	ask.Flag("chat", "The chat's name.").Required().StringVar(&question.Chat)
+	texts := ask.Arg("messages", "The conversation: questions and answers in turn.").Required().Strings()
+
 	var handler http.Handler
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case "ask":
+		exitOn(askModel(question, *texts))
+		return
 	case "platform":
 		handler = platform.New().Handler()
 	case "service":
@@ -44,12 +56,34 @@
 	case "engine":
 		handler = engine.New(config).Handler()
 	}
-	if err := serve(*listen, handler); err != nil {
+	exitOn(serve(*listen, handler))
+}
+
+func exitOn(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "hemlockknot-standin:", err)
 		os.Exit(1)
 	}
 }
 
+// askModel asks one question and prints the answer and where it came from.
+func askModel(question client.Request, texts []string) error {
+	for turn, text := range texts {
+		role := "user"
+		if turn%2 == 1 {
+			role = "assistant"
+		}
+		question.Messages = append(question.Messages, client.Message{Role: role, Content: text})
+	}
+	answer, err := client.Ask(context.Background(), question, os.Stdout)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n  chat %s: engine %s, %d of %d prompt tokens were cached\n",
+		question.Chat, answer.Engine, answer.CachedTokens, answer.PromptTokens)
+	return nil
+}
+
 // serve answers until the process is told to end.
 func serve(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
--- /dev/null
+++ b/internal/transport/peer/forward_test.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/internal/coordination/control"
+	"hemlockknot/internal/coordination/entry"
+	"hemlockknot/internal/coordination/home"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/protocol/targetapi"
+	"hemlockknot/internal/state/environment"
+)
+
+// tokenTarget streams a number of tokens at an interval; 0: at once.
+type tokenTarget struct {
+	tokens   int
+	interval time.Duration
+}
+
+func (t tokenTarget) Call(context.Context, targetapi.Call) (*targetapi.Answer, *refusal.Refusal) {
+	return &targetapi.Answer{Status: 200, Events: &tokenStream{target: t}}, nil
+}
+
+func (tokenTarget) Cancel(context.Context, string, string) {}
+
+type tokenStream struct {
+	target tokenTarget
+	sent   int
+}
+
+func (s *tokenStream) Next() (*peerpb.Event, error) {
+	if s.sent == s.target.tokens {
+		return nil, io.EOF
+	}
+	if s.target.interval > 0 {
+		<-time.After(s.target.interval)
+	}
+	s.sent++
+	return &peerpb.Event{Offset: uint64(s.sent), Data: tokenText}, nil
+}
+
+func (*tokenStream) Abort() {}
+func (*tokenStream) Close() {}
+
+// tokenText is an event of the usual size.
+const tokenText = `{"id":"chatcmpl-0","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" token"},"finish_reason":null}]}`
+
+type discard struct{ events int }
+
+func (*discard) Started(string)                   {}
+func (*discard) Head(int, []*peerpb.Header) error { return nil }
+func (d *discard) Event(*peerpb.Event) error      { d.events++; return nil }
+func (*discard) Body([]byte) error                { return nil }
+
+type uncounted struct{}
+
+func (uncounted) ControlBytes(int)       {}
+func (uncounted) Retried(refusal.Reason) {}
+
+const benchDocument = `
+name: bench
+places: [{name: p, failure_domain: d}]
+services: [{name: s, kind: model, load_bound: 1000}]
+engines: [{name: e, service: s, place: p, address: "127.0.0.1:1", capacity: 1000}]
+`
+
+// startPair runs a home daemon's server and returns a router that reaches it
+// over a real connection.
+func startPair(t testing.TB, target tokenTarget) *entry.Router {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	document, err := environment.Parse([]byte(benchDocument))
+	must.NoError(t, err)
+	homeMember := &peerpb.Member{Name: "home", Address: listener.Addr().String(), FailureDomain: "d", Incarnation: 1}
+	entryMember := &peerpb.Member{Name: "entry", Address: "127.0.0.1:1", FailureDomain: "other", Incarnation: 1}
+	loops := map[string]*control.Loop{}
+	for _, self := range []*peerpb.Member{homeMember, entryMember} {
+		loop := control.New(self)
+		go loop.Run(ctx)
+		loop.Apply(&control.Snapshot{Generation: 1, Document: document})
+		loops[self.GetName()] = loop
+	}
+	far := home.New(loops["home"], target, "d")
+	go func() { _ = Serve(ctx, listener, far, nil, uncounted{}) }()
+	loops["entry"].Do(func(state *control.State, now time.Time) {
+		state.Members.Merge([]*peerpb.Member{homeMember}, now.Add(time.Hour))
+	})
+	client := NewClient(entryMember, home.New(loops["entry"], target, "other"), uncounted{})
+	t.Cleanup(client.Close)
+	return entry.New(loops["entry"], client, uncounted{})
+}
+
+func serveOne(t testing.TB, router *entry.Router, id int) int {
+	sink := new(discard)
+	call := &peerpb.Call{RequestId: strconv.Itoa(id), Service: "s", Repeatable: true, Stream: true, ChatKey: uint64(id + 1)}
+	_, refused := router.Serve(context.Background(), entry.Request{Call: call, Resumable: true, Deadline: time.Now().Add(time.Minute)}, sink)
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	return sink.events
+}
+
+func TestForwardCarriesEveryEvent(t *testing.T) {
+	const tokens = 500
+	router := startPair(t, tokenTarget{tokens: tokens})
+	must.Eq(t, tokens, serveOne(t, router, 1))
+}
+
+// BenchmarkForwardToken gives the processor time of one token on the hop between
+// daemons, both ends together, when tokens come 5 ms apart.
+func BenchmarkForwardToken(b *testing.B) {
+	const streams = 512
+	tokens := b.N/streams + 1
+	router := startPair(b, tokenTarget{tokens: tokens, interval: 5 * time.Millisecond})
+	before := processorTime(b)
+	b.ResetTimer()
+	done := make(chan int, streams)
+	for id := range streams {
+		go func() { done <- serveOne(b, router, id) }()
+	}
+	for range streams {
+		<-done
+	}
+	b.ReportMetric(float64(processorTime(b)-before)/float64(streams*tokens), "cpu-ns/token")
+}
+
+// processorTime is the processor time that this process has used.
+func processorTime(t testing.TB) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	must.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
