Resume a stream whose connection breaks before its answer begins

Cause: a stream that lost two homes and its engine's connection was reported incomplete: the second home refused the resumed request at the load bound, as the dead home's count still stood, and the third one gave up when its first call to the engine broke off. A resumed request is now admitted always, as its engine runs it already; a stream whose call breaks off is resumed from event 0. Ruled out: retrying at another engine, which loses the text so far.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -24,6 +24,7 @@
 	Priority   int32
 	Deadline   time.Time
 	LastResort bool // every other candidate has refused
+	Resumed    bool // the engine runs it already
 }
 
 // Controller counts the requests in flight and decides on new ones. It is not
@@ -106,17 +107,25 @@
 	if engine == nil {
 		return refusal.NotRun(refusal.EngineUnknown, 0, "admit: engine %s is not in the document", request.Engine)
 	}
+	if request.Resumed {
+		c.take(engine.Name)
+		return nil
+	}
 	if !c.takes(engine.Name) {
 		return refusal.NotRun(refusal.EngineLeaving, RetryAfterBusy, "admit: engine %s takes no new work", engine.Name)
 	}
 	if c.InFlight(engine.Name)+1 > c.limit(engine) {
 		return refusal.NotRun(refusal.EngineBusy, RetryAfterBusy, "admit: engine %s is at its limit", engine.Name)
 	}
-	c.own[engine.Name]++
-	c.sequence++
+	c.take(engine.Name)
 	return nil
 }
 
+func (c *Controller) take(engine string) {
+	c.own[engine]++
+	c.sequence++
+}
+
 // Release gives back what Admit took.
 func (c *Controller) Release(request Request) {
 	c.own[request.Engine]--
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -132,6 +132,7 @@
 		Priority:   call.GetPriority(),
 		Deadline:   time.Now().Add(wait),
 		LastResort: call.GetLastResort(),
+		Resumed:    call.GetResume() != nil,
 	}
 }
 
@@ -184,7 +185,7 @@
 		cancel()
 	})
 	defer timer.Stop()
-	answer, refused := s.targets.Call(ctx, request)
+	answer, refused := s.callOrResume(ctx, call, request)
 	if refused == nil || refused.DidNotRun() || !stalled.Load() {
 		return answer, refused
 	}
@@ -194,6 +195,28 @@
 	return nil, refusal.Unknown(refusal.EngineStalled, "engine %s did not answer within %s", call.GetEngine(), limit)
 }
 
+// callOrResume makes the call. When the connection for a stream breaks off before
+// the answer begins, the stream is resumed from where it was, or started if the
+// engine has not started it.
+func (s *Server) callOrResume(ctx context.Context, call *peerpb.Call, request targetapi.Call) (*targetapi.Answer, *refusal.Refusal) {
+	answer, refused := s.targets.Call(ctx, request)
+	for range maxResumes {
+		if refused == nil || refused.DidNotRun() || !call.GetStream() || ctx.Err() != nil {
+			return answer, refused
+		}
+		if request.Resume == nil {
+			request.Resume = &peerpb.Resume{Engine: call.GetEngine()}
+		}
+		var again *refusal.Refusal
+		answer, again = s.targets.Call(ctx, request)
+		if again != nil && again.DidNotRun() {
+			return nil, refused
+		}
+		refused = again
+	}
+	return answer, refused
+}
+
 // answerLimit returns how long a target may take to begin its answer.
 func answerLimit(call *peerpb.Call) time.Duration {
 	if call.GetStream() {
