Report everything that is wrong with settings and documents at once

Cause: a wrong settings file or document was refused at its first fault, and most faults were not looked for. With the former parser the test's document of 37 faults gave one error ("cannot unmarshal string into Go struct field Document.Engines of type int", and the wrong field's name at that); a document with two places and two engines of one name, a plain service without a path, an unknown class and a key that is no digest gave none.

Now: a strict decoder walks the YAML tree along the struct's fields, so that a value of the wrong type does not hide what comes after it, and the checks add theirs to the same list. Each problem has line, path, found and allowed. Settings may be replaced by flags and environment variables; an error then names the flag.

Ruled out: the library's strict mode (it stops at the first error), and a schema library (it knows nothing of references between sections).

--- a/cmd/hemlockknotd/main.go
+++ b/cmd/hemlockknotd/main.go
@@ -19,11 +19,12 @@
 	app := kingpin.New("hemlockknotd", "Router daemon for fleets of model engines and plain services.")
 	run := app.Command("run", "Run the daemon.").Default()
 	runFile := run.Flag("config", "Settings file (YAML).").Envar("HEMLOCKKNOT_CONFIG").Required().String()
+	overrides := overrideFlags(run)
 	check := app.Command("check", "Check a settings file and exit.")
 	checkFile := check.Arg("file", "Settings file (YAML).").Required().String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
-		exitOn(runDaemon(*runFile))
+		exitOn(runDaemon(*runFile, overrides()))
 	case check.FullCommand():
 		_, err := settings.Load(*checkFile)
 		exitOn(err)
@@ -38,8 +39,8 @@
 	}
 }
 
-func runDaemon(path string) error {
-	config, err := settings.Load(path)
+func runDaemon(path string, overrides []settings.Override) error {
+	config, err := settings.Load(path, overrides...)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -109,6 +109,7 @@
 func (d *Daemon) apply(generation uint64, text []byte) {
 	document, err := environment.Parse(text)
 	if err != nil {
+		d.metrics.DocumentRefused()
 		d.log.Error("document refused", "step", "parse document", "generation", generation, "err", err)
 		return
 	}
--- a/internal/state/environment/document.go
+++ b/internal/state/environment/document.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"hemlockknot/internal/state/strictyaml"
 )
 
 // Document is an environment as its operators write it.
@@ -123,6 +125,9 @@
 	return nil
 }
 
+// AllowedText describes the texts of a Duration for errors.
+func (*Duration) AllowedText() string { return strictyaml.AllowedDuration }
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
--- /dev/null
+++ b/internal/state/settings/check.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"hemlockknot/internal/state/address"
+	"hemlockknot/internal/state/strictyaml"
+)
+
+// Ranges of the limits.
+const (
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 64 << 20
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	minTimeout     = 100 * time.Millisecond
+	maxTimeout     = 10 * time.Minute
+	maxStopTimeout = 24 * time.Hour
+)
+
+// check reports everything that is wrong with the values.
+func (s *Settings) check(source *strictyaml.Source) {
+	s.checkNames(source)
+	s.checkAddresses(source)
+	s.checkLimits(source)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		source.Report(s.LogLevel, "debug, info, warn or error", "log_level")
+	}
+}
+
+func (s *Settings) checkNames(source *strictyaml.Source) {
+	required := []struct {
+		value, key, allowed string
+	}{
+		{s.Name, "name", "a name that is unique in the fleet"},
+		{s.FailureDomain, "failure_domain", "the failure domain of the daemon's host"},
+		{s.Environment, "environment", "the name of an environment object"},
+	}
+	for _, field := range required {
+		if field.value == "" {
+			source.Missing(field.allowed, field.key)
+		}
+	}
+	const allowedURL = `a URL such as "http://192.0.2.1:8001"`
+	parsed, err := url.Parse(s.Platform.URL)
+	switch {
+	case s.Platform.URL == "":
+		source.Missing(allowedURL, "platform", "url")
+	case err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https"):
+		source.Report(s.Platform.URL, allowedURL, "platform", "url")
+	}
+}
+
+func (s *Settings) checkAddresses(source *strictyaml.Source) {
+	listeners := []struct{ value, key string }{
+		{s.Listen.Callers, "callers"},
+		{s.Listen.Operators, "operators"},
+		{s.Listen.Peers, "peers"},
+	}
+	usedBy := make(map[string]string)
+	for _, listener := range listeners {
+		if !address.ValidListen(listener.value) {
+			source.Report(listener.value, address.AllowedListen, "listen", listener.key)
+			continue
+		}
+		other, used := usedBy[listener.value]
+		if used && !address.AnyPort(listener.value) {
+			source.Report(listener.value, "an address that listen."+other+" does not use", "listen", listener.key)
+		}
+		usedBy[listener.value] = listener.key
+	}
+	advertised := []struct{ value, key string }{
+		{s.AdvertisePeers, "advertise_peers"},
+		{s.AdvertiseOutside, "advertise_outside"},
+	}
+	for _, field := range advertised {
+		if field.value != "" && !address.Valid(field.value) {
+			source.Report(field.value, address.Allowed, field.key)
+		}
+	}
+	for i, peer := range s.BootstrapPeers {
+		if !address.Valid(peer) {
+			source.Report(peer, address.Allowed, "bootstrap_peers", i)
+		}
+	}
+}
+
+func (s *Settings) checkLimits(source *strictyaml.Source) {
+	limits := s.Limits
+	inRange(source, limits.BodyBytes, minBodyBytes, maxBodyBytes, "body_bytes")
+	inRange(source, limits.HeaderBytes, minHeaderBytes, maxHeaderBytes, "header_bytes")
+	inRange(source, limits.HeaderTimeout, minTimeout, maxTimeout, "header_timeout")
+	inRange(source, limits.BodyTimeout, minTimeout, maxTimeout, "body_timeout")
+	inRange(source, limits.WriteTimeout, minTimeout, maxTimeout, "write_timeout")
+	inRange(source, limits.StopTimeout, minTimeout, maxStopTimeout, "stop_timeout")
+}
+
+// inRange reports a limit that is too small or too large.
+func inRange[T int | int64 | time.Duration](source *strictyaml.Source, value, lowest, highest T, key string) {
+	if value < lowest || value > highest {
+		source.Report(value, fmt.Sprintf("%v to %v", lowest, highest), "limits", key)
+	}
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -4,12 +4,11 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"hemlockknot/internal/state/strictyaml"
 )
 
 // Settings are a daemon's settings file.
@@ -79,29 +78,37 @@
 	}
 }
 
-// Load reads and checks a settings file.
-func Load(path string) (Settings, error) {
-	settings := Default()
+// Override replaces one value of the file, as a flag or an environment variable
+// does. An empty value replaces nothing.
+type Override struct {
+	Origin string // what to name in an error, such as "flag --log-level"
+	Path   []any  // of the value in the file
+	Value  string
+	Target func(*Settings) *string
+}
+
+// Load reads a settings file, applies the overrides and checks the whole. The
+// error names everything that is wrong.
+func Load(path string, overrides ...Override) (Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return settings, fmt.Errorf("read settings: %w", err)
+		return Default(), fmt.Errorf("read settings: %w", err)
 	}
-	if err := yaml.UnmarshalWithOptions(text, &settings, yaml.Strict()); err != nil {
-		return settings, fmt.Errorf("%s: %w", path, err)
-	}
-	return settings, settings.check()
+	return Parse(path, text, overrides...)
 }
 
-func (s *Settings) check() error {
-	var problems []error
-	if s.Name == "" {
-		problems = append(problems, errors.New("name: missing"))
-	}
-	if s.FailureDomain == "" {
-		problems = append(problems, errors.New("failure_domain: missing"))
+// Parse checks the text of a settings file with that name.
+func Parse(name string, text []byte, overrides ...Override) (Settings, error) {
+	settings := Default()
+	source := strictyaml.Decode(name, text, &settings)
+	for _, override := range overrides {
+		if override.Value != "" {
+			*override.Target(&settings) = override.Value
+			source.Replace(override.Origin, override.Path...)
+		}
 	}
-	if s.Platform.URL == "" {
-		problems = append(problems, errors.New("platform.url: missing"))
+	if source.Readable() {
+		settings.check(source)
 	}
-	return errors.Join(problems...)
+	return settings, source.Err()
 }
