Add hemlockknotctl: conditional writes, and why a request went where it went

Cause: operators could change an environment only by writing to the platform unconditionally, and could not see why a request went to an engine.

Writes: env apply and env promote are one conditional update against the generation that the operator saw.

Ruled out: recording every candidate of each request (a list of the service's engines a request); the candidates shown are those of now, the tries are those of then.

Ruled out for env status: spreading operators' addresses with the members.

--- /dev/null
+++ b/internal/coordination/control/explain.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"time"
+
+	"hemlockknot/internal/coordination/ranking"
+	"hemlockknot/internal/state/environment"
+)
+
+// Candidate is an engine that a chat could go to, as this daemon sees it.
+type Candidate struct {
+	Engine   string `json:"engine"`
+	Place    string `json:"place"`
+	Home     string `json:"home"`
+	State    string `json:"state"`
+	InFlight int    `json:"in_flight"`
+	Capacity int    `json:"capacity"`
+	Warm     bool   `json:"warm"` // known to hold the chat's context
+}
+
+// ChatKey returns the key of a chat that its callers name.
+func ChatKey(workspace, service, chat string) uint64 {
+	return ranking.Hash("chat", workspace, service, chat)
+}
+
+// Explain returns the engines of a service in the order in which a chat would
+// try them now, and the ones that take no new work at the end.
+func (s *State) Explain(service string, chat uint64, now time.Time) []Candidate {
+	candidates := []Candidate{}
+	if s.Snapshot == nil {
+		return candidates
+	}
+	warm, _ := s.Directory.Lookup(chat, now)
+	listed := make(map[string]bool)
+	for _, name := range s.Candidates(service, chat, now) {
+		candidate := s.describe(s.Snapshot.Document.Engine(name), now)
+		candidate.Warm = name == warm
+		candidates = append(candidates, candidate)
+		listed[name] = true
+	}
+	for _, engine := range s.Snapshot.Document.EnginesOf(service) {
+		if !listed[engine.Name] {
+			candidates = append(candidates, s.describe(engine, now))
+		}
+	}
+	return candidates
+}
+
+func (s *State) describe(engine *environment.Engine, now time.Time) Candidate {
+	return Candidate{
+		Engine:   engine.Name,
+		Place:    engine.Place,
+		Home:     s.HomeOf(engine.Name, nil, now).GetName(),
+		State:    s.Health.State(engine.Name).String(),
+		InFlight: s.Admission.InFlight(engine.Name),
+		Capacity: engine.Capacity,
+	}
+}
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -19,6 +19,19 @@
 	Down    State = 2 // does not answer
 )
 
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Live:
+		return "live"
+	case Leaving:
+		return "leaving"
+	case Down:
+		return "down"
+	}
+	return "unknown"
+}
+
 // Sources of findings.
 const (
 	SourcePlatform = "platform"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,7 +108,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	operators := &http.Server{
-		Handler:           operator.Handler(d.loop, d.metrics, d.ready),
+		Handler:           operator.Handler(d.shown()),
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 	}
 	group, background := errgroup.WithContext(background)
@@ -135,6 +135,17 @@
 	return err
 }
 
+// shown is what operators see of the daemon.
+func (d *Daemon) shown() operator.Daemon {
+	return operator.Daemon{
+		Environment: d.settings.Environment,
+		Loop:        d.loop,
+		Metrics:     d.metrics,
+		Traces:      d.callers.Traces(),
+		Ready:       d.ready,
+	}
+}
+
 func (d *Daemon) logListening() {
 	d.log.Info("listening",
 		"callers", d.listeners.callers.Addr().String(),
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -41,6 +41,8 @@
 var (
 	ErrNotFound = errors.New("object not found")
 	ErrConflict = errors.New("object has changed meanwhile")
+	// ErrRejected says that the platform takes no such call; it had no effect.
+	ErrRejected = errors.New("rejected by the platform")
 	// ErrVersionExpired says that a watch must start again from a read.
 	ErrVersionExpired = errors.New("resource version expired")
 )
@@ -63,6 +65,24 @@
 // EnvironmentSpec is the spec of an environment object.
 type EnvironmentSpec struct {
 	Document string `json:"document"` // YAML
+	// Revision says who wrote this version; it is empty if not an operator's tool.
+	Revision Revision `json:"revision,omitzero"`
+	// Earlier are the revisions before, the latest first.
+	Earlier []Revision `json:"earlier,omitempty"`
+}
+
+// Revision is where a version of an environment comes from.
+type Revision struct {
+	Generation uint64 `json:"generation"`
+	// Attempt is unique to the write, so that its writer can find out whether a
+	// write took effect whose answer was lost.
+	Attempt string    `json:"attempt"`
+	By      string    `json:"by"`
+	At      time.Time `json:"at"`
+	// PromotedFrom is the environment that the document was copied from, at
+	// PromotedGeneration; empty if it came from a file.
+	PromotedFrom       string `json:"promoted_from,omitempty"`
+	PromotedGeneration uint64 `json:"promoted_generation,omitempty"`
 }
 
 // HostSpec is the spec of a host object.
@@ -187,6 +207,9 @@
 		return ErrConflict
 	case status == http.StatusGone:
 		return ErrVersionExpired
+	case status == http.StatusBadRequest || status == http.StatusForbidden ||
+		status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity:
+		return fmt.Errorf("%w: status %d", ErrRejected, status)
 	case status < 200 || status > 299:
 		return fmt.Errorf("status %d", status)
 	}
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/protocol/chat"
@@ -43,7 +44,7 @@
 func chatKey(exchange *exchange, service *environment.Service, parsed *chat.Request) uint64 {
 	name := exchange.r.Header.Get(HeaderChat)
 	if name != "" {
-		return ranking.Hash("chat", exchange.workspace.Name, service.Name, name)
+		return control.ChatKey(exchange.workspace.Name, service.Name, name)
 	}
 	return ranking.Hash("opening", exchange.workspace.Name, service.Name, parsed.Opening())
 }
@@ -97,8 +98,10 @@
 func (s *Server) serve(exchange *exchange, request entry.Request) *refusal.Refusal {
 	s.metrics.Request(request.Call.GetService())
 	sink := newSink(exchange, s.limits.WriteTimeout)
-	trace, refused := s.router.Serve(exchange.r.Context(), request, sink)
-	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", trace)
+	begun := time.Now()
+	tries, refused := s.router.Serve(exchange.r.Context(), request, sink)
+	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", tries)
+	s.remember(request.Call, begun, tries, refused)
 	if refused != nil && sink.begun {
 		s.metrics.Refused(refused.Reason)
 		s.log.Info("interrupted", "request", exchange.id, "reason", refused.Reason, "detail", refused.Detail)
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator serves the operators' HTTP interface of a daemon: health,
-// readiness, metrics and status.
+// readiness, metrics, status, and why requests went where they went.
 package operator
 
 import (
@@ -8,17 +8,19 @@
 	"time"
 
 	"hemlockknot/internal/coordination/control"
+	"hemlockknot/internal/coordination/trace"
 	"hemlockknot/internal/metrics"
 )
 
 // Status is the answer to GET /status.
 type Status struct {
-	Name       string         `json:"name"`
-	Ready      bool           `json:"ready"`
-	Generation uint64         `json:"generation"`
-	Members    []MemberStatus `json:"members"`
-	Engines    []EngineStatus `json:"engines"`
-	ChatsKnown int            `json:"chats_known"`
+	Name        string         `json:"name"`
+	Environment string         `json:"environment"`
+	Ready       bool           `json:"ready"`
+	Generation  uint64         `json:"generation"`
+	Members     []MemberStatus `json:"members"`
+	Engines     []EngineStatus `json:"engines"`
+	ChatsKnown  int            `json:"chats_known"`
 }
 
 // MemberStatus is a daemon as this one sees it.
@@ -31,39 +33,60 @@
 
 // EngineStatus is an engine as this daemon sees it.
 type EngineStatus struct {
-	Name     string `json:"name"`
-	Service  string `json:"service"`
-	Home     string `json:"home"`
-	State    uint32 `json:"state"`
-	InFlight int    `json:"in_flight"`
-	Capacity int    `json:"capacity"`
+	Name      string `json:"name"`
+	Service   string `json:"service"`
+	Home      string `json:"home"`
+	State     uint32 `json:"state"`
+	StateName string `json:"state_name"`
+	InFlight  int    `json:"in_flight"`
+	Capacity  int    `json:"capacity"`
 }
 
-// Handler serves the operators' interface. The function ready reports whether
-// the daemon takes new requests.
-func Handler(loop *control.Loop, counters *metrics.Metrics, ready func() bool) http.Handler {
+// Daemon is what the operators' interface shows of its daemon.
+type Daemon struct {
+	Environment string // the environment that it serves
+	Loop        *control.Loop
+	Metrics     *metrics.Metrics
+	Traces      *trace.Log
+	Ready       func() bool // whether it takes new requests
+}
+
+// handler answers the calls that need the daemon's state.
+type handler struct{ Daemon }
+
+// Handler serves the operators' interface.
+func Handler(daemon Daemon) http.Handler {
+	h := &handler{daemon}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ok\n"))
-	})
-	mux.Handle("GET /metrics", counters.Handler())
+	mux.HandleFunc("GET /readyz", h.readiness)
+	mux.Handle("GET /metrics", h.Metrics.Handler())
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(status(loop, ready()))
+		writeJSON(w, h.status())
 	})
+	mux.HandleFunc("GET /explain", h.explainChat)
+	mux.HandleFunc("GET /explain/{request}", h.explainRequest)
 	return mux
 }
 
-func status(loop *control.Loop, ready bool) Status {
-	status := Status{Ready: ready}
-	loop.Do(func(state *control.State, now time.Time) {
+func (h *handler) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !h.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (h *handler) status() Status {
+	status := Status{Environment: h.Environment, Ready: h.Ready()}
+	h.Loop.Do(func(state *control.State, now time.Time) {
 		status.Name = state.Members.Self().GetName()
 		status.ChatsKnown = state.Directory.Len()
 		for _, member := range state.Members.Live(now) {
@@ -87,12 +110,13 @@
 	for i := range state.Snapshot.Document.Engines {
 		engine := &state.Snapshot.Document.Engines[i]
 		engines = append(engines, EngineStatus{
-			Name:     engine.Name,
-			Service:  engine.Service,
-			Home:     state.HomeOf(engine.Name, nil, now).GetName(),
-			State:    uint32(state.Health.State(engine.Name)),
-			InFlight: state.Admission.InFlight(engine.Name),
-			Capacity: engine.Capacity,
+			Name:      engine.Name,
+			Service:   engine.Service,
+			Home:      state.HomeOf(engine.Name, nil, now).GetName(),
+			State:     uint32(state.Health.State(engine.Name)),
+			StateName: state.Health.State(engine.Name).String(),
+			InFlight:  state.Admission.InFlight(engine.Name),
+			Capacity:  engine.Capacity,
 		})
 	}
 	return engines
