--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return c.fail(&usageError{err})
 	}
+	if c.timeout <= 0 {
+		return c.fail(usagef("--timeout: found %s, allowed: more than 0s", c.timeout))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	if err := actions[selected](ctx); err != nil {
--- a/internal/ctl/environment.go
+++ b/internal/ctl/environment.go
@@ -29,7 +29,8 @@
 
 	status := env.Command("status", "Show an environment's version and the one in force at each --daemon.")
 	statusEnv := environmentFlag(status)
-	actions[status.FullCommand()] = func(ctx context.Context) error { return c.status(ctx, *statusEnv) }
+	wait := status.Flag("wait", "Wait this long at most until the version is in force at each --daemon.").Duration()
+	actions[status.FullCommand()] = func(ctx context.Context) error { return c.status(ctx, *statusEnv, *wait) }
 
 	c.addWrites(env, actions)
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -1,8 +1,10 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"time"
 
 	"hemlockknot/internal/state/platform"
 	"hemlockknot/internal/state/revision"
@@ -30,9 +32,29 @@
 	Error       string `json:"error,omitempty"`
 }
 
+// statusInterval is the pause between the reads of env status --wait.
+const statusInterval = 200 * time.Millisecond
+
 // status prints what is known even if the platform or a daemon does not answer,
 // and then ends with that error.
-func (c *command) status(ctx context.Context, name string) error {
+func (c *command) status(ctx context.Context, name string, wait time.Duration) error {
+	deadline := time.Now().Add(wait)
+	shown, present, err := c.readStatus(ctx, name)
+	for !shown.InForce && time.Now().Before(deadline) && ctx.Err() == nil {
+		time.Sleep(statusInterval)
+		shown, present, err = c.readStatus(ctx, name)
+	}
+	if printErr := c.print(shown, statusTable(shown, present)); printErr != nil {
+		return printErr
+	}
+	if err == nil && wait > 0 && !shown.InForce {
+		return fmt.Errorf("%s generation %d is not in force at every daemon after %s", name, shown.Generation, wait)
+	}
+	return err
+}
+
+// readStatus asks the platform and all daemons.
+func (c *command) readStatus(ctx context.Context, name string) (environmentStatus, revision.Version, error) {
 	shown := environmentStatus{Environment: name, Daemons: make([]daemonVersion, len(c.daemons))}
 	present, platformErr := c.readEnvironment(ctx, name)
 	if platformErr != nil {
@@ -47,15 +69,7 @@
 		shown.Daemons[i], failures[i] = versionAt(ctx, address, name)
 	})
 	shown.InForce = inForce(shown)
-	if err := c.print(shown, statusTable(shown, present)); err != nil {
-		return err
-	}
-	for _, err := range append(failures, platformErr) {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return shown, present, cmp.Or(platformErr, cmp.Or(failures...))
 }
 
 func versionAt(ctx context.Context, address, environment string) (daemonVersion, error) {
--- a/internal/ctl/write.go
+++ b/internal/ctl/write.go
@@ -52,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if seen < anyGeneration {
+		return usagef("--if-generation: found %d, allowed: 0 or more", seen)
+	}
 	present, err := c.readEnvironment(ctx, name)
 	if err != nil {
 		return err
--- a/internal/integration/ctl_test.go
+++ b/internal/integration/ctl_test.go
@@ -147,7 +147,7 @@
 		f.awaitSettled(seen + 1)
 		must.Eq(t, ctl.ExitOK, f.ctl("asha", "env", "apply", f.documentFile("first")).code)
 	}
-	status := f.ctl("asha", "env", "status")
+	status := f.ctl("asha", "env", "status", "--wait="+settleLimit.String())
 	must.Eq(t, ctl.ExitOK, status.code, must.Sprint(status.stderr))
 	must.StrContains(t, status.stdout, `"name": "d2"`)
 }
--- a/internal/integration/examples_test.go
+++ b/internal/integration/examples_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"os/exec"
 	"path/filepath"
+	"reflect"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -50,6 +52,33 @@
 	must.Len(t, documents+1, files)
 }
 
+func TestOperationsPageNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	must.NoError(t, err)
+	for _, described := range []reflect.Type{reflect.TypeFor[settings.Settings](), reflect.TypeFor[environment.Document]()} {
+		for _, key := range yamlKeys(described) {
+			must.StrContains(t, string(page), "`"+key+"`")
+		}
+	}
+}
+
+// yamlKeys returns the keys of a struct and of the structs in it.
+func yamlKeys(described reflect.Type) []string {
+	for described.Kind() == reflect.Slice {
+		described = described.Elem()
+	}
+	if described.Kind() != reflect.Struct {
+		return nil
+	}
+	var keys []string
+	for i := range described.NumField() {
+		if key := described.Field(i).Tag.Get("yaml"); key != "" {
+			keys = append(append(keys, key), yamlKeys(described.Field(i).Type)...)
+		}
+	}
+	return keys
+}
+
 func TestSuiMehranCallsAndUrgency(t *testing.T) {
 	text, err := os.ReadFile(filepath.Join(examplesFolder, "sui-mehran.yaml"))
 	must.NoError(t, err)
@@ -61,3 +90,27 @@
 	must.Greater(t, document.Class("draft").Priority, document.Class("surveyor").Priority)
 	must.Greater(t, document.Class("overnight").Priority, document.Class("draft").Priority)
 }
+
+func TestDaemonChecksItsSettingsBeforeItStarts(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	must.NoError(t, os.WriteFile(bad, []byte("name: d1\ncolour: red\nlisten: {callers: here}\n"), 0o600))
+	good := filepath.Join(examplesFolder, "hemlockknotd.yaml")
+	cases := []struct {
+		args []string
+		env  string
+		want string // of the errors; empty: exit 0
+	}{
+		{args: []string{"check", good}},
+		{args: []string{"check", bad}, want: bad + ":2: colour: found an unknown key"},
+		{args: []string{"run", "--config", bad}, want: bad + ":3: listen.callers: found \"here\""},
+		{args: []string{"run", "--config", good, "--log-level", "loud"}, want: "flag --log-level: log_level: found \"loud\""},
+		{args: []string{"run", "--config", good}, env: "HEMLOCKKNOT_LISTEN_PEERS=here", want: "listen.peers: found \"here\""},
+	}
+	for _, c := range cases {
+		cmd := exec.Command(filepath.Join(binaries, "hemlockknotd"), c.args...)
+		cmd.Env = append(os.Environ(), c.env)
+		output, _ := cmd.CombinedOutput()
+		must.Eq(t, c.want != "", cmd.ProcessState.ExitCode() == 1, must.Sprint(c.args, string(output)))
+		must.StrContains(t, string(output), c.want)
+	}
+}
