Keep the daemons of different environments apart

Cause: generations are counted for each environment, and a daemon took any peer's document with a higher one. With a trial daemon whose settings named a production daemon as its peer, production's daemons put the trial's document in force (generation 2 in place of 1), and each took the other as a home.

Now each control exchange carries a hash of the environment's name (6 bytes), and one of another environment is refused before anything is taken from it, and counted. Ruled out: the name itself, which is longer in every exchange; a check of documents only, which would leave members, loads and findings mixed.

The race between operators now loses the winner's answer in each second round: the winner still exits 0 once, the loser still exits 3. A seen generation that the platform does not have yet is told apart from a version that is newer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,7 @@
 	group.Go(func() error { return d.callers.Serve(d.listeners.callers) })
 	group.Go(func() error { return serveHTTP(operators, d.listeners.operators) })
 	group.Go(func() error {
-		return peer.Serve(background, d.listeners.peers, d.home, controlHandler{d}, d.metrics)
+		return peer.Serve(background, d.listeners.peers, d.home, apartHandler{controlHandler{d}}, d.metrics)
 	})
 	group.Go(func() error { d.runSync(background); return nil })
 	group.Go(func() error { d.runEnvironment(background); return nil })
--- a/internal/integration/ctl_test.go
+++ b/internal/integration/ctl_test.go
@@ -18,6 +18,8 @@
 	"github.com/shoenig/test/must"
 
 	"hemlockknot/internal/ctl"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/standin/engine"
 	standin "hemlockknot/internal/standin/platform"
 	"hemlockknot/internal/state/revision"
 )
@@ -115,12 +117,13 @@
 	for _, name := range operators {
 		must.Eq(t, ctl.ExitOK, f.ctl(name, "env", "apply", "--env=trial-"+name, f.documentFile(name)).code)
 	}
-	// Slow calls, so that both have read before either writes.
-	setFault(t, f.platform, standin.Fault{DelayMS: 50})
-	const rounds = 5
+	const rounds = 6
 	for round := range uint64(rounds) {
 		// Each round starts from a document that neither of them has written.
 		seen := 2*round + 1
+		// Slow calls, so that both have read before either writes; in each second
+		// round the winner's answer is lost as well.
+		setFault(t, f.platform, standin.Fault{DelayMS: 50, LoseAnswers: int(round % 2)})
 		results := make([]ctlResult, len(operators))
 		var group sync.WaitGroup
 		for i, name := range operators {
@@ -144,6 +147,7 @@
 		must.NotNil(t, conflict)
 		must.Eq(t, present.Spec.Revision.Attempt, conflict.Winner.Attempt)
 		must.Eq(t, "trial-"+operators[winner], conflict.Winner.PromotedFrom)
+		must.Eq(t, round%2 == 1, decodeAs[written](t, results[winner].stdout).AnswerLost)
 		f.awaitSettled(seen + 1)
 		must.Eq(t, ctl.ExitOK, f.ctl("asha", "env", "apply", f.documentFile("first")).code)
 	}
@@ -238,6 +242,35 @@
 	must.Eq(t, ctl.ExitUsage, f.ctl("asha", "explain").code)
 }
 
+func TestExplainSaysWhereARequestSpilled(t *testing.T) {
+	f := startSmallFleet(t)
+	type try struct {
+		Engine string
+		Reason refusal.Reason
+	}
+	// A probe may see the drain before the request does, so that nothing spills:
+	// then the next chat's engine is drained in its place.
+	for _, chat := range []string{"pomfret", "prawn", "squid", "tuna", "mackerel"} {
+		request := chatRequest{model: "hk-small", chat: chat, maxTokens: 4, stream: true, key: testKey}
+		first := request.send(context.Background(), f.daemons["d1"])
+		must.True(t, first.complete)
+		setFault(t, f.engines[first.engine()], engine.Fault{Draining: true})
+		second := request.send(context.Background(), f.daemons["d1"])
+		must.True(t, second.complete)
+		setFault(t, f.engines[first.engine()], engine.Fault{})
+		explained := f.ctl("asha", "explain", second.header.Get("X-Request-Id"))
+		must.Eq(t, ctl.ExitOK, explained.code, must.Sprint(explained.stderr))
+		tries := decodeAs[struct{ Request struct{ Tries []try } }](t, explained.stdout).Request.Tries
+		if len(tries) == 2 {
+			must.Eq(t, try{first.engine(), refusal.EngineLeaving}, tries[0])
+			must.Eq(t, try{Engine: second.engine()}, tries[1])
+			return
+		}
+		must.Eq(t, []try{{Engine: second.engine()}}, tries)
+	}
+	t.Fatal("no request spilled")
+}
+
 // counts reports whether a daemon's metrics have a line.
 func counts(daemon *process, line string) bool {
 	response, err := http.Get("http://" + daemon.listening["operators"] + "/metrics")
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -106,6 +106,7 @@
 // daemonOptions are the settings of a test daemon that tests vary.
 type daemonOptions struct {
 	failureDomain string
+	environment   string   // default: environmentName
 	platform      string   // address; default: the fleet's platform
 	advertise     string   // see outside; for daemons of the same domain
 	outside       string   // address for daemons of other domains
@@ -119,13 +120,16 @@
 	if options.platform == "" {
 		options.platform = f.platform.listening["address"]
 	}
+	if options.environment == "" {
+		options.environment = environmentName
+	}
 	if options.bootstrap == nil {
 		for _, daemon := range f.daemons {
 			options.bootstrap = append(options.bootstrap, daemon.listening["peers"])
 		}
 	}
 	text := fmt.Sprintf("name: %s\nplace: %s\nfailure_domain: %s\nenvironment: %s\nplatform:\n  url: http://%s\n",
-		name, options.failureDomain, options.failureDomain, environmentName, options.platform)
+		name, options.failureDomain, options.failureDomain, options.environment, options.platform)
 	text += "listen:\n  callers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n  peers: 127.0.0.1:0\nlog_level: debug\n"
 	if options.advertise != "" {
 		text += "advertise_peers: " + options.advertise + "\n"
--- a/internal/state/revision/revision.go
+++ b/internal/state/revision/revision.go
@@ -94,6 +94,10 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.Present < e.Seen {
+		return fmt.Sprintf("conflict: %s is at generation %d, which is before %d: the number is wrong, or the platform's reads are stale; nothing was changed",
+			e.Environment, e.Present, e.Seen)
+	}
 	return fmt.Sprintf("conflict: %s is at generation %d, not %d: written %s; nothing was changed",
 		e.Environment, e.Present, e.Seen, Describe(e.Winner))
 }
--- a/internal/state/revision/write_test.go
+++ b/internal/state/revision/write_test.go
@@ -113,7 +113,7 @@
 		{name: "lost and the platform stays away", writes: []step{loseAfter}, reads: append([]step{answer}, repeat(loseAway, away)...),
 			want: "outcome of attempt own is unknown", applied: 1},
 		{name: "another version than the one seen", seen: 4, want: "conflict: production is at generation 5, not 4: written by asha"},
-		{name: "a generation that is not there yet", seen: 6, want: "conflict: production is at generation 5, not 6"},
+		{name: "a generation that is not there yet", seen: 6, want: "conflict: production is at generation 5, which is before 6: the number is wrong"},
 		{name: "the seen one after a stale read", reads: []step{stale, answer}, applied: 1},
 	}
 	for _, c := range cases {
