Remember requests in a router of their own

Cause: the callers' server kept the traces, though that is no part of serving HTTP. Now a router in front of the entry's remembers them, and the peer client gives each Sync the environment's hash, whoever builds the message.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/home"
+	"hemlockknot/internal/coordination/trace"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/state/platform"
@@ -36,6 +37,7 @@
 	peers     *peer.Client
 	home      *home.Server
 	callers   *caller.Server
+	traces    *trace.Log
 	listeners listeners
 	stopping  atomic.Bool
 }
@@ -57,7 +59,9 @@
 	loop := control.New(member)
 	homeServer := home.New(loop, target.NewClient(), config.FailureDomain)
 	peers := peer.NewClient(member, homeServer, counters)
-	router := entry.New(loop, peers, counters)
+	peers.EnvironmentID = environmentID(config.Environment)
+	traces := trace.NewLog()
+	router := trace.NewRouter(entry.New(loop, peers, counters), traces)
 	return &Daemon{
 		settings:  config,
 		log:       logger,
@@ -67,6 +71,7 @@
 		peers:     peers,
 		home:      homeServer,
 		callers:   caller.New(loop, router, config.Limits, counters, logger),
+		traces:    traces,
 		listeners: opened,
 	}, nil
 }
@@ -141,7 +146,7 @@
 		Environment: d.settings.Environment,
 		Loop:        d.loop,
 		Metrics:     d.metrics,
-		Traces:      d.callers.Traces(),
+		Traces:      d.traces,
 		Ready:       d.ready,
 	}
 }
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -65,7 +65,7 @@
 
 // syncMessage returns what a peer should know.
 func (d *Daemon) syncMessage() *peerpb.SyncMessage {
-	message := &peerpb.SyncMessage{EnvironmentId: environmentID(d.settings.Environment)}
+	message := new(peerpb.SyncMessage)
 	d.loop.Do(func(state *control.State, now time.Time) {
 		self := state.Members.Self()
 		message.Sender = self.GetName()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,16 +77,6 @@
 	m.scope.Tagged(map[string]string{"operation": operation}).Counter("platform_calls_total").Inc(1)
 }
 
-// DocumentRefused counts a document that was not put in force, as it is invalid.
-func (m *Metrics) DocumentRefused() {
-	m.scope.Counter("documents_refused_total").Inc(1)
-}
-
-// PeerRefused counts a control exchange with a daemon of another environment.
-func (m *Metrics) PeerRefused() {
-	m.scope.Counter("peers_refused_total").Inc(1)
-}
-
 // Generation shows the generation of the document in force.
 func (m *Metrics) Generation(generation uint64) {
 	m.scope.Gauge("document_generation").Update(float64(generation))
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -98,10 +98,8 @@
 func (s *Server) serve(exchange *exchange, request entry.Request) *refusal.Refusal {
 	s.metrics.Request(request.Call.GetService())
 	sink := newSink(exchange, s.limits.WriteTimeout)
-	begun := time.Now()
-	tries, refused := s.router.Serve(exchange.r.Context(), request, sink)
-	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", tries)
-	s.remember(request.Call, begun, tries, refused)
+	trace, refused := s.router.Serve(exchange.r.Context(), request, sink)
+	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", trace)
 	if refused != nil && sink.begun {
 		s.metrics.Refused(refused.Reason)
 		s.log.Info("interrupted", "request", exchange.id, "reason", refused.Reason, "detail", refused.Detail)
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -18,7 +18,6 @@
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/route"
-	"hemlockknot/internal/coordination/trace"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/refusal"
 	"hemlockknot/internal/state/environment"
@@ -44,14 +43,13 @@
 	limits  settings.Limits
 	metrics *metrics.Metrics
 	log     *log.Logger
-	traces  *trace.Log
 	stop    atomic.Bool
 	http    *http.Server
 }
 
 // New returns a server; Serve runs it.
 func New(loop *control.Loop, router Router, limits settings.Limits, counters *metrics.Metrics, logger *log.Logger) *Server {
-	server := &Server{loop: loop, router: router, limits: limits, metrics: counters, log: logger, traces: trace.NewLog()}
+	server := &Server{loop: loop, router: router, limits: limits, metrics: counters, log: logger}
 	server.http = &http.Server{
 		Handler:           server.handler(),
 		ReadHeaderTimeout: limits.HeaderTimeout,
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -48,6 +48,9 @@
 	counter ByteCounter
 	self    *peerpb.Member
 	server  *home.Server
+	// EnvironmentID goes with each Sync, so that daemons of other environments
+	// refuse it.
+	EnvironmentID uint32
 }
 
 // NewClient returns a client of the daemon that self describes, whose own home
@@ -98,6 +101,7 @@
 
 // Sync exchanges control state with a peer.
 func (c *Client) Sync(ctx context.Context, address string, message *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
+	message.EnvironmentId = c.EnvironmentID
 	ctx, cancel := context.WithTimeout(ctx, controlRPCLimit)
 	defer cancel()
 	conn := c.controlConn(ctx, address)
