Name the environment in full in the tool's flags, and allow wide load bounds

Cause: a load bound of 1000 switches the bound off, which tests and an operator who weighs reuse alone may want; 10 was too narrow a limit.

--- a/internal/ctl/environment.go
+++ b/internal/ctl/environment.go
@@ -36,7 +36,7 @@
 }
 
 func environmentFlag(clause *kingpin.CmdClause) *string {
-	return clause.Flag("env", "The environment's name.").Default(defaultEnvironment).String()
+	return clause.Flag("environment", "The environment's name.").Default(defaultEnvironment).String()
 }
 
 func loadDocument(file string) (*environment.Document, string, error) {
--- a/internal/state/environment/check.go
+++ b/internal/state/environment/check.go
@@ -11,7 +11,7 @@
 // Ranges of a document's values.
 const (
 	MinLoadBound   = 1.0
-	MaxLoadBound   = 10.0
+	MaxLoadBound   = 1000.0
 	MaxQueueLength = 10_000
 	MaxCapacity    = 100_000
 	MaxShare       = 1_000_000.0
