Refuse hostile documents soon

Cause: the YAML library's time grows with the square of the depth of brackets, and of the length of what its error quotes. A daemon reads documents from peers and the platform.

Now brackets are nested 32 deep at most, which is looked up in the tokens before they are parsed, and the error is built from its parts. Ruled out: a limit on the length of a line, as a document may be one line of JSON.

The tool reaches daemons without a proxy from its environment.

--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// daemonClient takes no proxy from the environment: daemons are reached directly.
+var daemonClient = &http.Client{Transport: &http.Transport{}}
+
 // errNotKnown says that a daemon answered that it does not know what was asked.
 var errNotKnown = errors.New("not known")
 
@@ -57,7 +60,7 @@
 	if err != nil {
 		return nil, usagef("--daemon: %v", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := daemonClient.Do(request)
 	if err != nil {
 		return nil, &unreachableError{fmt.Errorf("ask daemon: %w", err)}
 	}
--- a/internal/state/environment/parse_test.go
+++ b/internal/state/environment/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -113,6 +114,26 @@
 	}
 }
 
+// refusalLimit is a fifth of the 15 s in which a change is to be in force.
+const refusalLimit = 3 * time.Second
+
+func TestHostileDocumentsAreRefusedSoon(t *testing.T) {
+	const times = 100_000
+	cases := map[string]string{
+		"{a: ": "d:1: found brackets nested deeper, allowed: 32 levels",
+		"[":    "d:1: found brackets nested deeper, allowed: 32 levels",
+		"a: ":  "d:1: found mapping value is not allowed in this context, allowed: YAML",
+		"*a ":  "d:1: found value is not allowed in this context",
+	}
+	for part, want := range cases {
+		begun := time.Now()
+		_, err := ParseNamed("d", []byte("places: "+strings.Repeat(part, times)))
+		must.Error(t, err)
+		must.StrHasPrefix(t, want, err.Error())
+		must.Less(t, refusalLimit, time.Since(begun))
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(bad))
 	f.Add([]byte("name: &a [*a]\n<<: *a\n"))
--- a/internal/state/strictyaml/strictyaml.go
+++ b/internal/state/strictyaml/strictyaml.go
@@ -12,6 +12,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -66,7 +67,12 @@
 // wrong keep what target held before.
 func Decode(name string, text []byte, target any) *Source {
 	source := &Source{name: name, reported: make(map[string]bool), replaced: make(map[string]string)}
-	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(text))
+	if deep := tooDeep(tokens); deep != nil {
+		source.add(deep.Position.Line, "", "brackets nested deeper", fmt.Sprintf("%d levels", maxDepth))
+		return source
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		source.addSyntax(err)
 		return source
@@ -96,12 +102,14 @@
 
 // addSyntax reports a file that is not YAML.
 func (s *Source) addSyntax(err error) {
-	number, message := 0, err.Error()
+	// The library's own text of the error quotes the source, in a time that grows
+	// with the square of its length.
 	var syntax *yaml.SyntaxError
 	if errors.As(err, &syntax) {
-		number, message = syntax.Token.Position.Line, syntax.Message
+		s.add(syntax.Token.Position.Line, "", syntax.Message, "YAML")
+		return
 	}
-	s.add(number, "", message, "YAML")
+	s.add(0, "", err.Error(), "YAML")
 }
 
 // Replace notes that the value at a path is not the file's, but that of origin.
