Explain a chat by what all daemons know

Cause: where a chat's context is held is known at one daemon, so that the first daemon's answer alone showed no warm engine.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -37,20 +37,44 @@
 	return fmt.Errorf("none of %d daemons remembers the request %s", len(c.daemons), id)
 }
 
+// explainChat shows the first daemon's view, with the engines that any daemon
+// knows to be warm: a chat's directory entry is at one daemon.
 func (c *command) explainChat(ctx context.Context, model, chat, workspace string) error {
 	if model == "" || chat == "" || workspace == "" {
 		return usagef("either a request's id, or --model, --chat and --workspace are needed")
 	}
-	address, err := c.firstDaemon()
-	if err != nil {
+	if _, err := c.firstDaemon(); err != nil {
 		return err
 	}
 	query := url.Values{"model": {model}, "chat": {chat}, "workspace": {workspace}}
-	answer, err := ask[operator.Explanation](ctx, address, "/explain?"+query.Encode())
-	if err != nil {
-		return err
+	answers := make([]*operator.Explanation, len(c.daemons))
+	failures := make([]error, len(c.daemons))
+	c.askAll(func(i int, address string) {
+		answers[i], failures[i] = ask[operator.Explanation](ctx, address, "/explain?"+query.Encode())
+	})
+	if failures[0] != nil {
+		return failures[0]
+	}
+	markWarm(answers[0], answers[1:])
+	return c.print(answers[0], candidatesTable(answers[0]))
+}
+
+// markWarm takes over what other daemons know of warm engines; a daemon that has
+// not answered is nil.
+func markWarm(shown *operator.Explanation, others []*operator.Explanation) {
+	warm := make(map[string]bool)
+	for _, other := range others {
+		if other == nil {
+			continue
+		}
+		for _, candidate := range other.Candidates {
+			warm[candidate.Engine] = warm[candidate.Engine] || candidate.Warm
+		}
+	}
+	for i := range shown.Candidates {
+		candidate := &shown.Candidates[i]
+		candidate.Warm = candidate.Warm || warm[candidate.Engine]
 	}
-	return c.print(answer, candidatesTable(answer))
 }
 
 // triesTable shows what became of a request, try by try.
