--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/home"
+	"hemlockknot/internal/coordination/trace"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/state/platform"
@@ -36,6 +37,7 @@
 	peers     *peer.Client
 	home      *home.Server
 	callers   *caller.Server
+	traces    *trace.Log
 	listeners listeners
 	stopping  atomic.Bool
 }
@@ -57,7 +59,9 @@
 	loop := control.New(member)
 	homeServer := home.New(loop, target.NewClient(), config.FailureDomain)
 	peers := peer.NewClient(member, homeServer, counters)
-	router := entry.New(loop, peers, counters)
+	peers.EnvironmentID = environmentID(config.Environment)
+	traces := trace.NewLog()
+	router := trace.NewRouter(entry.New(loop, peers, counters), traces)
 	return &Daemon{
 		settings:  config,
 		log:       logger,
@@ -67,6 +71,7 @@
 		peers:     peers,
 		home:      homeServer,
 		callers:   caller.New(loop, router, config.Limits, counters, logger),
+		traces:    traces,
 		listeners: opened,
 	}, nil
 }
@@ -108,7 +113,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	operators := &http.Server{
-		Handler:           operator.Handler(d.loop, d.metrics, d.ready),
+		Handler:           operator.Handler(d.shown()),
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 	}
 	group, background := errgroup.WithContext(background)
@@ -116,7 +121,7 @@
 	group.Go(func() error { return d.callers.Serve(d.listeners.callers) })
 	group.Go(func() error { return serveHTTP(operators, d.listeners.operators) })
 	group.Go(func() error {
-		return peer.Serve(background, d.listeners.peers, d.home, controlHandler{d}, d.metrics)
+		return peer.Serve(background, d.listeners.peers, d.home, apartHandler{controlHandler{d}}, d.metrics)
 	})
 	group.Go(func() error { d.runSync(background); return nil })
 	group.Go(func() error { d.runEnvironment(background); return nil })
@@ -135,6 +140,17 @@
 	return err
 }
 
+// shown is what operators see of the daemon.
+func (d *Daemon) shown() operator.Daemon {
+	return operator.Daemon{
+		Environment: d.settings.Environment,
+		Loop:        d.loop,
+		Metrics:     d.metrics,
+		Traces:      d.traces,
+		Ready:       d.ready,
+	}
+}
+
 func (d *Daemon) logListening() {
 	d.log.Info("listening",
 		"callers", d.listeners.callers.Addr().String(),
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/protocol/chat"
@@ -44,7 +45,7 @@
 func chatKey(exchange *exchange, service *environment.Service, parsed *chat.Request) uint64 {
 	name := exchange.r.Header.Get(HeaderChat)
 	if name != "" {
-		return ranking.Hash("chat", exchange.workspace.Name, service.Name, name)
+		return control.ChatKey(exchange.workspace.Name, service.Name, name)
 	}
 	return ranking.Hash("opening", exchange.workspace.Name, service.Name, parsed.Opening())
 }
