--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,9 +35,9 @@
 }
 
 start platform bin/hemlockknot-standin platform
-start old bin/hemlockknot-standin engine --capacity 8 --token-time 10ms
-start middle bin/hemlockknot-standin engine --capacity 16 --token-time 5ms
-start new bin/hemlockknot-standin engine --capacity 32 --token-time 2ms
+start old bin/hemlockknot-standin engine --capacity 8 --token-time 10ms --tokens 3
+start middle bin/hemlockknot-standin engine --capacity 16 --token-time 5ms --tokens 3
+start new bin/hemlockknot-standin engine --capacity 32 --token-time 2ms --tokens 3
 start ledger bin/hemlockknot-standin service
 
 key="demo-key"
