Spread configuration through few watchers and by differences

Cause: every daemon watched the platform and read it whole at its start, so platform calls grew with daemons; a starting daemon served under whatever the platform's first read gave; a document went whole to each peer.

Now two daemons of each failure domain, by rendezvous rank of those that reach the platform, follow it; the others hear of a version through Sync and fetch the difference, checked by xxhash64, or the whole text when they are too far back. A starting daemon asks its peers before the platform. A version is its generation, then its digest, so that a recreated object cannot split the fleet; a refused version is remembered and the one in force stays. Watches end after 5 s, so that a silent one is found in time, and start at the newest item read, not at the list's version.

Ruled out: rereading the object every few seconds (a megabyte each time), and watching from the list's version (a stale list under a new version misses the change between).

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -11,6 +11,7 @@
 	"hemlockknot/internal/coordination/admission"
 	"hemlockknot/internal/coordination/health"
 	"hemlockknot/internal/coordination/member"
+	"hemlockknot/internal/coordination/spread"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/state/directory"
 	"hemlockknot/internal/state/environment"
@@ -23,10 +24,19 @@
 // Snapshot is the document in force.
 type Snapshot struct {
 	Generation uint64
+	Digest     uint64 // of the text
 	Document   *environment.Document
 	Text       []byte
 }
 
+// Version returns the version of the document, or the zero version for none.
+func (s *Snapshot) Version() spread.Version {
+	if s == nil {
+		return spread.Version{}
+	}
+	return spread.Version{Generation: s.Generation, Digest: s.Digest}
+}
+
 // State is what the control goroutine owns. Only functions passed to Do may
 // touch it.
 type State struct {
@@ -34,6 +44,7 @@
 	Health    *health.Table
 	Admission *admission.Controller
 	Directory *directory.Directory
+	Versions  *spread.Tracker
 	Snapshot  *Snapshot // nil until a document is in force
 
 	watches map[string]chan struct{} // by member, closed when it goes down
@@ -58,6 +69,7 @@
 			Health:    engines,
 			Admission: admission.New(engines.Takes),
 			Directory: directory.New(),
+			Versions:  new(spread.Tracker),
 			watches:   make(map[string]chan struct{}),
 		},
 	}
@@ -101,14 +113,20 @@
 // Snapshot returns the document in force, or nil. Any goroutine may call it.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
-// Apply puts a document in force if its generation is higher than the present
-// one; generations never fall. It reports whether it did.
+// Apply puts a document in force if its version is newer than the present one;
+// versions never fall. It reports whether it did.
 func (l *Loop) Apply(next *Snapshot) bool {
+	var before *Snapshot
+	var edits []*peerpb.DocumentEdit
+	if before = l.Snapshot(); before != nil {
+		edits = spread.Diff(before.Text, next.Text)
+	}
 	applied := false
 	l.Do(func(state *State, _ time.Time) {
-		if state.Snapshot != nil && next.Generation <= state.Snapshot.Generation {
+		if !next.Version().Newer(state.Versions.InForce()) {
 			return
 		}
+		state.Versions.Accept(next.Version(), before.Version(), edits)
 		state.Snapshot = next
 		state.Admission.SetDocument(next.Document)
 		l.snapshot.Store(next)
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -44,15 +44,20 @@
 func (t *Table) Self() *peerpb.Member { return t.self }
 
 // Beat raises the daemon's own heartbeat.
-func (t *Table) Beat() { t.renew(t.self.GetLeaving()) }
+func (t *Table) Beat() { t.renew(func(*peerpb.Member) {}) }
 
 // Leave marks the daemon as being in graceful shutdown.
-func (t *Table) Leave() { t.renew(true) }
+func (t *Table) Leave() { t.renew(func(self *peerpb.Member) { self.Leaving = true }) }
 
-func (t *Table) renew(leaving bool) {
+// SetPlatformAway notes whether the daemon's last call of the platform failed.
+func (t *Table) SetPlatformAway(away bool) {
+	t.renew(func(self *peerpb.Member) { self.PlatformAway = away })
+}
+
+func (t *Table) renew(change func(self *peerpb.Member)) {
 	next := proto.CloneOf(t.self)
 	next.Heartbeat++
-	next.Leaving = leaving
+	change(next)
 	t.self = next
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,9 @@
 	callers   *caller.Server
 	listeners listeners
 	stopping  atomic.Bool
+	// background ends when the daemon has stopped; it is set before any listener
+	// is served.
+	background context.Context
 }
 
 type listeners struct {
@@ -112,6 +115,7 @@
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 	}
 	group, background := errgroup.WithContext(background)
+	d.background = background
 	group.Go(func() error { d.loop.Run(background); return nil })
 	group.Go(func() error { return d.callers.Serve(d.listeners.callers) })
 	group.Go(func() error { return serveHTTP(operators, d.listeners.operators) })
@@ -119,8 +123,7 @@
 		return peer.Serve(background, d.listeners.peers, d.home, controlHandler{d}, d.metrics)
 	})
 	group.Go(func() error { d.runSync(background); return nil })
-	group.Go(func() error { d.runEnvironment(background); return nil })
-	group.Go(func() error { d.runHosts(background); return nil })
+	group.Go(func() error { d.runPlatform(background); return nil })
 	d.logListening()
 	group.Go(func() error {
 		defer cancel()
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/member"
+	"hemlockknot/internal/coordination/spread"
 	"hemlockknot/internal/protocol/peerpb"
 )
 
@@ -60,7 +63,7 @@
 		return
 	}
 	d.takeSync(reply)
-	d.fetchNewer(ctx, address, reply.GetGeneration())
+	d.considerVersion(ctx, address, versionIn(reply))
 }
 
 // syncMessage returns what a peer should know.
@@ -77,6 +80,7 @@
 		}
 		if state.Snapshot != nil {
 			message.Generation = state.Snapshot.Generation
+			message.DocumentDigest = state.Snapshot.Digest
 		}
 	})
 	return message
@@ -90,22 +94,71 @@
 	})
 }
 
+// peersAsked is how many peers a starting daemon asks.
+const peersAsked = 3
+
+// askPeers learns the fleet and its newest document from some bootstrap peers.
+// It returns when each of them has answered or failed.
+func (d *Daemon) askPeers(ctx context.Context) {
+	peers := slices.Clone(d.settings.BootstrapPeers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var group sync.WaitGroup
+	for _, address := range peers[:min(peersAsked, len(peers))] {
+		group.Go(func() { d.askPeer(ctx, address) })
+	}
+	group.Wait()
+}
+
+func (d *Daemon) askPeer(ctx context.Context, address string) {
+	reply, err := d.peers.Sync(ctx, address, d.syncMessage())
+	if err != nil {
+		d.log.Debug("peer not reached", "step", "ask peers", "peer", address, "err", err)
+		return
+	}
+	d.takeSync(reply)
+	if !versionIn(reply).Newer(d.loop.Snapshot().Version()) {
+		return
+	}
+	if err := d.fetchDocument(ctx, address, true); err != nil {
+		d.log.Debug("document not fetched", "step", "ask peers", "peer", address, "err", err)
+	}
+}
+
+// versionIn returns the document version that the sender of a message has.
+func versionIn(message *peerpb.SyncMessage) spread.Version {
+	return spread.Version{Generation: message.GetGeneration(), Digest: message.GetDocumentDigest()}
+}
+
 // controlHandler answers peers' control calls.
 type controlHandler struct{ daemon *Daemon }
 
 // Sync implements peer.ControlHandler.
 func (h controlHandler) Sync(_ context.Context, message *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
 	h.daemon.takeSync(message)
+	h.daemon.fetchFromSender(message)
 	return h.daemon.syncMessage(), nil
 }
 
 // FetchDocument implements peer.ControlHandler.
 func (h controlHandler) FetchDocument(_ context.Context, request *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
-	snapshot := h.daemon.loop.Snapshot()
-	if snapshot == nil || snapshot.Generation <= request.GetKnownGeneration() {
-		return new(peerpb.DocumentReply), nil
+	reply := new(peerpb.DocumentReply)
+	known := spread.Version{Generation: request.GetKnownGeneration(), Digest: request.GetKnownDigest()}
+	h.daemon.loop.Do(func(state *control.State, _ time.Time) {
+		if state.Snapshot != nil {
+			reply = state.Versions.Reply(known, state.Snapshot.Text)
+		}
+	})
+	return reply, nil
+}
+
+// fetchFromSender fetches the document of a peer that has called, if it is newer.
+func (d *Daemon) fetchFromSender(message *peerpb.SyncMessage) {
+	for _, sender := range message.GetMembers() {
+		if sender.GetName() == message.GetSender() {
+			address := member.AddressFor(sender, d.settings.FailureDomain)
+			go d.considerVersion(d.background, address, versionIn(message))
+		}
 	}
-	return &peerpb.DocumentReply{Generation: snapshot.Generation, Document: snapshot.Text}, nil
 }
 
 // Handover implements peer.ControlHandler.
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -66,12 +66,18 @@
 // publish writes the fleet's document to the platform and returns its
 // generation.
 func (f *fleet) publish() uint64 {
+	f.t.Helper()
+	return f.publishText(string(f.documentText()))
+}
+
+// documentText returns the fleet's document as YAML.
+func (f *fleet) documentText() []byte {
 	f.t.Helper()
 	text, err := yaml.Marshal(f.document)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	return f.publishText(string(text))
+	return text
 }
 
 func (f *fleet) publishText(text string) uint64 {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -25,6 +25,9 @@
 	StaleReads bool `json:"stale_reads"`
 	// LoseAnswers lets that many writes take effect and drops their answers.
 	LoseAnswers int `json:"lose_answers"`
+	// MuteWatches makes each watch that is open at a change stay open and
+	// silent until its timeout.
+	MuteWatches bool `json:"mute_watches"`
 }
 
 // Server is the stand-in.
@@ -250,11 +253,16 @@
 	timeout := time.After(time.Duration(seconds) * time.Second)
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
+	muted := false
 	for {
-		events, changed, outage := s.after(kind, version)
-		if outage {
+		events, changed, fault := s.after(kind, version)
+		if fault.Outage {
 			panic(http.ErrAbortHandler)
 		}
+		muted = muted || (fault.MuteWatches && len(events) > 0)
+		if muted {
+			events = nil
+		}
 		for _, event := range events {
 			_ = encoder.Encode(event.event)
 			version = event.version
@@ -272,7 +280,7 @@
 
 // after returns a kind's changes after a version, and the channel that is closed
 // at the next change.
-func (s *Server) after(kind string, version uint64) ([]change, <-chan struct{}, bool) {
+func (s *Server) after(kind string, version uint64) ([]change, <-chan struct{}, Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var events []change
@@ -281,7 +289,7 @@
 			events = append(events, entry)
 		}
 	}
-	return events, s.changed, s.fault.Outage
+	return events, s.changed, s.fault
 }
 
 func decode(w http.ResponseWriter, r *http.Request) (api.Object, bool) {
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 )
 
@@ -30,10 +31,12 @@
 // Limits of calls.
 const (
 	callTimeout   = 3 * time.Second
+	listTimeout   = 8 * time.Second
 	maxReplyBytes = 4 << 20
-	// WatchTimeout is how long one watch call waits at the server.
-	WatchTimeout = 30 * time.Second
-	watchGrace   = 5 * time.Second
+	// WatchTimeout is how long one watch call waits at the server. It bounds how
+	// long a watch that has silently died goes unnoticed.
+	WatchTimeout = 5 * time.Second
+	watchGrace   = 3 * time.Second
 )
 
 // Errors of calls. Every other error means that the platform is away and that a
@@ -65,11 +68,20 @@
 	Document string `json:"document"` // YAML
 }
 
+// HostLeaving is the state of a host that takes no new work.
+const HostLeaving = "leaving"
+
 // HostSpec is the spec of a host object.
 type HostSpec struct {
-	State string `json:"state"` // "live" or "leaving"
+	State string `json:"state"` // "live" or HostLeaving
 }
 
+// Types of events that are handled.
+const (
+	EventAdded   = "ADDED"
+	EventDeleted = "DELETED"
+)
+
 // Event is a change that a watch reports.
 type Event struct {
 	Type   string `json:"type"` // ADDED, MODIFIED, DELETED or ERROR
@@ -108,9 +120,32 @@
 	return call[Object](ctx, c, "get", http.MethodGet, objectPath(kind, name), nil)
 }
 
-// List reads all objects of a kind.
+// List reads all objects of a kind. It waits longer than other calls: it is the
+// large one, and a slow platform is better than none.
 func (c *Client) List(ctx context.Context, kind string) (*List, error) {
-	return call[List](ctx, c, "list", http.MethodGet, objectPath(kind, ""), nil)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return callWithin[List](ctx, c, "list", http.MethodGet, objectPath(kind, ""), nil)
+}
+
+// WatchFrom returns the version to watch from after a list. It is that of the
+// newest item, not that of the list: a stale replica may return old items under
+// a new list version, and a watch from there would miss the change between.
+func (l *List) WatchFrom() string {
+	newest := uint64(0)
+	for _, item := range l.Items {
+		newest = max(newest, item.Metadata.Version())
+	}
+	return strconv.FormatUint(newest, 10)
+}
+
+// Version returns the resource version as a number, 0 if it is none.
+func (m Metadata) Version() uint64 {
+	version, err := strconv.ParseUint(m.ResourceVersion, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
 }
 
 // Create makes a new object; ErrConflict says that the name is taken.
@@ -140,6 +175,10 @@
 func call[T any](ctx context.Context, c *Client, operation, method, path string, body any) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return callWithin[T](ctx, c, operation, method, path, body)
+}
+
+func callWithin[T any](ctx context.Context, c *Client, operation, method, path string, body any) (*T, error) {
 	response, err := c.do(ctx, operation, method, path, body)
 	if err != nil {
 		return nil, err
@@ -217,6 +256,9 @@
 		} else if err != nil {
 			return version, fmt.Errorf("platform watch %s: %w", kind, err)
 		}
+		if event.Type == "ERROR" {
+			return version, fmt.Errorf("platform watch %s: %w", kind, ErrVersionExpired)
+		}
 		version = event.Object.Metadata.ResourceVersion
 		handle(event)
 	}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -110,12 +110,12 @@
 }
 
 // FetchDocument gets the document that a peer has in force.
-func (c *Client) FetchDocument(ctx context.Context, address string, known uint64) (*peerpb.DocumentReply, error) {
+func (c *Client) FetchDocument(ctx context.Context, address string, request *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentRPCLimit)
 	defer cancel()
 	conn := c.controlConn(ctx, address)
 	defer func() { _ = conn.Close() }()
-	reply, err := peerpb.NewDRPCPeerClient(conn).FetchDocument(ctx, &peerpb.DocumentRequest{KnownGeneration: known})
+	reply, err := peerpb.NewDRPCPeerClient(conn).FetchDocument(ctx, request)
 	if err != nil {
 		return nil, fmt.Errorf("fetch document from %s: %w", address, err)
 	}
