Exchange membership by digests, probe engines and combine findings

Cause: each exchange carried every member, count and finding, so control bytes grew with the fleet. Now a digest names each entry by a 32-bit id with its heartbeat (about seven bytes); an entry itself is sent once, to whoever asks; a reply holds only what the asker lacks; members of other failure domains take turns, 32 a message; in-flight counts are renewed less often in a larger fleet; findings go only when their digests differ, and with requests for a second after a change. A daemon passes on only heartbeats that it has seen rise lately, and one that was paused neither declares its peers down nor passes on what it remembers until it has heard them again. What is left open: a thawed daemon still answers on its old view for those seconds.

Leaving targets. Cause: one finding an engine, the latest of any source, so a late list could hide a drain, and nobody asked the engines. Now the home asks its model engines for their load each second, findings are kept by source, the list's ordered by resource version, the others after all that is known whatever the clocks say. A refusal holds until a probe 3 s later (the report lags) or 10 s. Probes from another failure domain count only for the prober: a cut between domains must not take engines out of use in their own. A changed state is told at once to eight peers of the domain.

Failed first, on the code before: 401 requests started at a draining engine after 3 s; "not within 15s: every daemon knows that the engine is down"; "not within 3s: the home knows".

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -148,8 +148,9 @@
 // Tick notices the members that have gone down. The driver calls it a few times
 // a second.
 func (s *State) Tick(now time.Time) {
-	s.Members.Beat()
+	s.Members.Beat(now)
 	s.Members.Expire(now)
+	s.Health.Tick(now)
 	for name, watch := range s.watches {
 		if !s.Members.Alive(name, now) {
 			close(watch)
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -18,6 +18,12 @@
 const (
 	// DownAfter is how long a member lives on without a new heartbeat.
 	DownAfter = 2 * time.Second
+	// maxOutsideDownAfter is the same for members of other failure domains when
+	// there are many.
+	maxOutsideDownAfter = 10 * time.Second
+	// PauseAfter is the gap between beats from which a daemon takes itself to
+	// have been paused.
+	PauseAfter = time.Second
 	// ForgetAfter is how long a dead member's last incarnation is remembered, so
 	// that late gossip does not bring it back.
 	ForgetAfter = 10 * time.Minute
@@ -25,26 +31,52 @@
 
 // Table is the view of one daemon. It is not safe for concurrent use.
 type Table struct {
-	self  *peerpb.Member
-	peers map[string]*peer
+	self    *peerpb.Member
+	selfID  uint32
+	peers   map[string]*peer
+	names   map[uint32]string   // of members by the id of their present entry
+	missing map[uint32]struct{} // ids heard of whose entries are not known
+	turn    int                 // of the members of other domains in digests
+	tick    time.Time           // the last one
 }
 
 type peer struct {
-	member   *peerpb.Member
-	lastSeen time.Time // when the heartbeat last rose
+	member    *peerpb.Member // its heartbeat is that of when the entry came
+	id        uint32
+	heartbeat uint64
+	rose      time.Time // when the heartbeat last rose
+	grace     time.Time // counts as alive until then in any case
 }
 
 // New returns the table of a daemon that knows only itself.
 func New(self *peerpb.Member) *Table {
-	return &Table{self: self, peers: make(map[string]*peer)}
+	return &Table{
+		self:    self,
+		selfID:  entryID(self),
+		peers:   make(map[string]*peer),
+		names:   make(map[uint32]string),
+		missing: make(map[uint32]struct{}),
+	}
 }
 
 // Self returns the daemon's own entry. Entries are never changed once they can
 // be seen outside the table, so that other goroutines may encode them.
 func (t *Table) Self() *peerpb.Member { return t.self }
 
-// Beat raises the daemon's own heartbeat.
-func (t *Table) Beat() { t.renew(func(*peerpb.Member) {}) }
+// Beat raises the daemon's own heartbeat. A gap since the last beat means that
+// this daemon was paused: the silence was its own, so it gives the members that
+// were alive before the pause time to be heard again.
+func (t *Table) Beat(now time.Time) {
+	if gap := now.Sub(t.tick); !t.tick.IsZero() && gap > PauseAfter {
+		for _, peer := range t.peers {
+			if t.alive(peer, t.tick) {
+				peer.grace = now.Add(t.downAfter(peer.member))
+			}
+		}
+	}
+	t.tick = now
+	t.renew(func(*peerpb.Member) {})
+}
 
 // Leave marks the daemon as being in graceful shutdown.
 func (t *Table) Leave() { t.renew(func(self *peerpb.Member) { self.Leaving = true }) }
@@ -59,45 +91,83 @@
 	next.Heartbeat++
 	change(next)
 	t.self = next
+	t.selfID = entryID(next)
 }
 
-// Merge takes in what a peer says about members. Only an entry with a higher
-// incarnation, or a higher heartbeat of the same incarnation, counts as news.
+// Merge takes in members' entries. Only an entry with a higher incarnation, or a
+// higher heartbeat of the same incarnation, counts as news.
 func (t *Table) Merge(members []*peerpb.Member, now time.Time) {
 	for _, member := range members {
 		if member.GetName() == t.self.GetName() {
 			continue
 		}
 		known := t.peers[member.GetName()]
-		if known == nil || newer(member, known.member) {
-			t.peers[member.GetName()] = &peer{member: member, lastSeen: now}
+		if known == nil || known.olderThan(member) {
+			t.set(member, now)
 		}
+		delete(t.missing, entryID(member))
 	}
 }
 
-func newer(a, b *peerpb.Member) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
+func (t *Table) set(member *peerpb.Member, now time.Time) {
+	if known := t.peers[member.GetName()]; known != nil {
+		delete(t.names, known.id)
 	}
-	return a.GetHeartbeat() > b.GetHeartbeat()
+	id := entryID(member)
+	t.names[id] = member.GetName()
+	t.peers[member.GetName()] = &peer{member: member, id: id, heartbeat: member.GetHeartbeat(), rose: now}
+}
+
+func (p *peer) olderThan(member *peerpb.Member) bool {
+	if p.member.GetIncarnation() != member.GetIncarnation() {
+		return p.member.GetIncarnation() < member.GetIncarnation()
+	}
+	return p.heartbeat < member.GetHeartbeat()
 }
 
 // Expire forgets members that have been dead for ForgetAfter.
 func (t *Table) Expire(now time.Time) {
 	for name, peer := range t.peers {
-		if now.Sub(peer.lastSeen) > ForgetAfter {
+		if now.Sub(peer.rose) > ForgetAfter {
 			delete(t.peers, name)
+			delete(t.names, peer.id)
 		}
 	}
 }
 
+// alive judges by the last beat's time if this daemon has been paused since.
+func (t *Table) alive(peer *peer, now time.Time) bool {
+	if !t.tick.IsZero() && now.Sub(t.tick) > PauseAfter {
+		now = t.tick
+	}
+	return now.Sub(peer.rose) <= t.downAfter(peer.member) || now.Before(peer.grace)
+}
+
+// downAfter returns how long a member lives on without a new heartbeat. Those of
+// other failure domains are heard of in turns.
+func (t *Table) downAfter(member *peerpb.Member) time.Duration {
+	if member.GetFailureDomain() == t.self.GetFailureDomain() {
+		return DownAfter
+	}
+	turns := 1 + (len(t.peers)-1)/outsideInDigest
+	return min(DownAfter*time.Duration(turns), maxOutsideDownAfter)
+}
+
 // Alive reports whether a daemon is believed to run.
 func (t *Table) Alive(name string, now time.Time) bool {
 	if name == t.self.GetName() {
 		return true
 	}
 	peer := t.peers[name]
-	return peer != nil && now.Sub(peer.lastSeen) <= DownAfter
+	return peer != nil && t.alive(peer, now)
+}
+
+// Member returns a member's entry, or nil.
+func (t *Table) Member(name string) *peerpb.Member {
+	if peer := t.peers[name]; peer != nil {
+		return peer.member
+	}
+	return nil
 }
 
 // Live returns the daemons that are believed to run, this one included, in the
@@ -105,7 +175,7 @@
 func (t *Table) Live(now time.Time) []*peerpb.Member {
 	live := []*peerpb.Member{t.self}
 	for _, peer := range t.peers {
-		if now.Sub(peer.lastSeen) <= DownAfter {
+		if t.alive(peer, now) {
 			live = append(live, peer.member)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,9 +35,16 @@
 	platform  *platform.Client
 	peers     *peer.Client
 	home      *home.Server
+	prober    *target.Prober
 	callers   *caller.Server
 	listeners listeners
 	stopping  atomic.Bool
+	// told is the own in-flight counts as peers are told them, and toldAt when they
+	// were counted; the control goroutine owns both.
+	told   *peerpb.DaemonLoad
+	toldAt time.Time
+	// findingsChanged is when an engine's state last changed; owned likewise.
+	findingsChanged time.Time
 	// background ends when the daemon has stopped; it is set before any listener
 	// is served.
 	background context.Context
@@ -69,6 +76,7 @@
 		platform:  platform.NewClient(config.Platform.URL, counters),
 		peers:     peers,
 		home:      homeServer,
+		prober:    target.NewProber(counters.ProbeBytes),
 		callers:   caller.New(loop, router, config.Limits, counters, logger),
 		listeners: opened,
 	}, nil
@@ -124,6 +132,7 @@
 	})
 	group.Go(func() error { d.runSync(background); return nil })
 	group.Go(func() error { d.runPlatform(background); return nil })
+	group.Go(func() error { d.runProbes(background); return nil })
 	d.logListening()
 	group.Go(func() error {
 		defer cancel()
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -116,8 +116,8 @@
 	if spec.State == platform.HostLeaving && event.Type != platform.EventDeleted {
 		state = health.Leaving
 	}
-	d.loop.Do(func(s *control.State, now time.Time) {
-		s.Health.Note(event.Object.Metadata.Name, state, health.SourcePlatform, now)
+	d.loop.Do(func(s *control.State, _ time.Time) {
+		s.Health.NoteListed(event.Object.Metadata.Name, state, event.Object.Metadata.Version())
 	})
 }
 
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -9,13 +9,23 @@
 
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/member"
-	"hemlockknot/internal/coordination/spread"
 	"hemlockknot/internal/protocol/peerpb"
 )
 
 // syncInterval is how often a daemon exchanges control state with one peer.
 const syncInterval = 250 * time.Millisecond
 
+// Odds of choosing another peer than a live one of the own failure domain: one
+// in so many rounds.
+const (
+	outsideOdds   = 4
+	bootstrapOdds = 8
+)
+
+// announceFanOut is how many peers are told at once of a change that must not
+// wait for the next rounds; they tell others in turn.
+const announceFanOut = 8
+
 // runSync exchanges control state with a random peer each round.
 func (d *Daemon) runSync(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
@@ -25,26 +35,47 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.loop.Do(func(state *control.State, now time.Time) { state.Tick(now) })
-			if address := d.pickPeer(); address != "" {
-				go d.syncWith(ctx, address)
-			}
+			d.round(ctx)
 		}
 	}
 }
 
-// pickPeer returns the address of a random live peer, or now and then of a
-// bootstrap peer, so that separated parts of the fleet find each other again.
-func (d *Daemon) pickPeer() string {
-	var addresses []string
+func (d *Daemon) round(ctx context.Context) {
+	changed := false
 	d.loop.Do(func(state *control.State, now time.Time) {
-		for _, peer := range state.Members.Live(now) {
-			if peer != state.Members.Self() {
-				addresses = append(addresses, member.AddressFor(peer, state.Members.Self().GetFailureDomain()))
-			}
+		state.Tick(now)
+		changed = state.Health.TakeChanged()
+		if changed {
+			d.findingsChanged = now
 		}
 	})
-	const bootstrapOdds = 8
+	if changed {
+		d.announce(ctx)
+		return
+	}
+	if address := d.pickPeer(); address != "" {
+		go d.syncWith(ctx, address)
+	}
+}
+
+// announce exchanges control state with several peers of the failure domain at
+// once.
+func (d *Daemon) announce(ctx context.Context) {
+	inside, _ := d.peerAddresses()
+	rand.Shuffle(len(inside), func(i, j int) { inside[i], inside[j] = inside[j], inside[i] })
+	for _, address := range inside[:min(announceFanOut, len(inside))] {
+		go d.syncWith(ctx, address)
+	}
+}
+
+// pickPeer returns the address of a random live peer, mostly of the own failure
+// domain, or now and then of a bootstrap peer, so that separated parts of the
+// fleet find each other again.
+func (d *Daemon) pickPeer() string {
+	addresses, outside := d.peerAddresses()
+	if len(addresses) == 0 || (len(outside) > 0 && rand.IntN(outsideOdds) == 0) {
+		addresses = outside
+	}
 	if bootstrap := d.settings.BootstrapPeers; len(bootstrap) > 0 {
 		if len(addresses) == 0 || rand.IntN(bootstrapOdds) == 0 {
 			addresses = bootstrap
@@ -56,42 +87,50 @@
 	return addresses[rand.IntN(len(addresses))]
 }
 
+// peerAddresses returns the addresses of the live peers inside and outside the
+// own failure domain.
+func (d *Daemon) peerAddresses() (inside, outside []string) {
+	own := d.settings.FailureDomain
+	d.loop.Do(func(state *control.State, now time.Time) {
+		for _, peer := range state.Members.Live(now) {
+			switch {
+			case peer == state.Members.Self():
+			case peer.GetFailureDomain() == own:
+				inside = append(inside, member.AddressFor(peer, own))
+			default:
+				outside = append(outside, member.AddressFor(peer, own))
+			}
+		}
+	})
+	return inside, outside
+}
+
+// syncWith exchanges control state with a peer and fetches its document if that
+// is newer.
 func (d *Daemon) syncWith(ctx context.Context, address string) {
-	reply, err := d.peers.Sync(ctx, address, d.syncMessage())
+	reply, err := d.exchange(ctx, address)
 	if err != nil {
 		d.log.Debug("sync failed", "step", "sync", "peer", address, "err", err)
 		return
 	}
-	d.takeSync(reply)
 	d.considerVersion(ctx, address, versionIn(reply))
 }
 
-// syncMessage returns what a peer should know.
-func (d *Daemon) syncMessage() *peerpb.SyncMessage {
-	message := new(peerpb.SyncMessage)
-	d.loop.Do(func(state *control.State, now time.Time) {
-		self := state.Members.Self()
-		message.Sender = self.GetName()
-		message.Members = state.Members.Live(now)
-		message.Findings = state.Health.Findings()
-		message.Loads = append(message.Loads, state.Admission.OwnLoad(self.GetName(), self.GetIncarnation()))
-		for _, load := range state.Admission.PeerLoads() {
-			message.Loads = append(message.Loads, load)
-		}
-		if state.Snapshot != nil {
-			message.Generation = state.Snapshot.Generation
-			message.DocumentDigest = state.Snapshot.Digest
+// exchange exchanges control state with a peer. If one of the two lacks entries
+// of members that the other has named, a second round brings them.
+func (d *Daemon) exchange(ctx context.Context, address string) (*peerpb.SyncMessage, error) {
+	reply, err := d.peers.Sync(ctx, address, d.syncRequest(nil))
+	if err != nil {
+		return nil, err
+	}
+	if lacking := d.takeSync(reply); lacking || len(reply.GetWanted()) > 0 {
+		reply, err = d.peers.Sync(ctx, address, d.syncRequest(reply.GetWanted()))
+		if err != nil {
+			return nil, err
 		}
-	})
-	return message
-}
-
-func (d *Daemon) takeSync(message *peerpb.SyncMessage) {
-	d.loop.Do(func(state *control.State, now time.Time) {
-		state.Members.Merge(message.GetMembers(), now)
-		state.Health.Merge(message.GetFindings())
-		state.Admission.MergeLoads(state.Members.Self().GetName(), message.GetLoads())
-	})
+		d.takeSync(reply)
+	}
+	return reply, nil
 }
 
 // peersAsked is how many peers a starting daemon asks.
@@ -110,12 +149,11 @@
 }
 
 func (d *Daemon) askPeer(ctx context.Context, address string) {
-	reply, err := d.peers.Sync(ctx, address, d.syncMessage())
+	reply, err := d.exchange(ctx, address)
 	if err != nil {
 		d.log.Debug("peer not reached", "step", "ask peers", "peer", address, "err", err)
 		return
 	}
-	d.takeSync(reply)
 	if !versionIn(reply).Newer(d.loop.Snapshot().Version()) {
 		return
 	}
@@ -123,50 +161,3 @@
 		d.log.Debug("document not fetched", "step", "ask peers", "peer", address, "err", err)
 	}
 }
-
-// versionIn returns the document version that the sender of a message has.
-func versionIn(message *peerpb.SyncMessage) spread.Version {
-	return spread.Version{Generation: message.GetGeneration(), Digest: message.GetDocumentDigest()}
-}
-
-// controlHandler answers peers' control calls.
-type controlHandler struct{ daemon *Daemon }
-
-// Sync implements peer.ControlHandler.
-func (h controlHandler) Sync(_ context.Context, message *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
-	h.daemon.takeSync(message)
-	h.daemon.fetchFromSender(message)
-	return h.daemon.syncMessage(), nil
-}
-
-// FetchDocument implements peer.ControlHandler.
-func (h controlHandler) FetchDocument(_ context.Context, request *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
-	reply := new(peerpb.DocumentReply)
-	known := spread.Version{Generation: request.GetKnownGeneration(), Digest: request.GetKnownDigest()}
-	h.daemon.loop.Do(func(state *control.State, _ time.Time) {
-		if state.Snapshot != nil {
-			reply = state.Versions.Reply(known, state.Snapshot.Text)
-		}
-	})
-	return reply, nil
-}
-
-// fetchFromSender fetches the document of a peer that has called, if it is newer.
-func (d *Daemon) fetchFromSender(message *peerpb.SyncMessage) {
-	for _, sender := range message.GetMembers() {
-		if sender.GetName() == message.GetSender() {
-			address := member.AddressFor(sender, d.settings.FailureDomain)
-			go d.considerVersion(d.background, address, versionIn(message))
-		}
-	}
-}
-
-// Handover implements peer.ControlHandler.
-func (h controlHandler) Handover(_ context.Context, request *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
-	h.daemon.loop.Do(func(state *control.State, now time.Time) {
-		for _, entry := range request.GetEntries() {
-			state.Directory.Remember(entry.GetChatKey(), entry.GetEngine(), now)
-		}
-	})
-	return new(peerpb.HandoverReply), nil
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,8 @@
 type Fault struct {
 	// Draining refuses new requests as the engine does before it leaves.
 	Draining bool `json:"draining"`
+	// ReportDraining reports a drain but takes what it is sent.
+	ReportDraining bool `json:"report_draining"`
 	// CutStreams breaks the connection of that many streams in the middle.
 	CutStreams int `json:"cut_streams"`
 	// EndEarly ends that many streams cleanly but without their last event.
@@ -120,7 +122,7 @@
 	defer s.mu.Unlock()
 	if time.Since(s.reportT) >= s.config.LoadLag {
 		s.reportT = time.Now()
-		s.report = targetapi.Load{Running: s.running, Capacity: s.config.Capacity, Draining: s.fault.Draining}
+		s.report = targetapi.Load{Running: s.running, Capacity: s.config.Capacity, Draining: s.fault.Draining || s.fault.ReportDraining}
 	}
 	_ = json.NewEncoder(w).Encode(s.report)
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -18,6 +18,7 @@
 	"hemlockknot/internal/coordination/home"
 	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/transport/counting"
 )
 
 // Prefixes that a client sends first on a connection.
@@ -153,7 +154,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("dial peer %s: %w", address, err)
 		}
-		counted := countConn(raw, counter)
+		var count func(n int)
+		if counter != nil {
+			count = counter.ControlBytes
+		}
+		counted := counting.Conn(raw, count)
 		return drpcconn.New(drpcmigrate.NewHeaderConn(counted, prefix)), nil
 	}
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -13,6 +13,7 @@
 
 	"hemlockknot/internal/coordination/home"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/transport/counting"
 )
 
 // ControlHandler answers peers' control calls.
@@ -45,7 +46,7 @@
 	traffic := prefixes.Route(prefixTraffic)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return prefixes.Run(ctx) })
-	group.Go(func() error { return server.Serve(ctx, countingListener{control, counter}) })
+	group.Go(func() error { return server.Serve(ctx, counting.Listener(control, counter.ControlBytes)) })
 	group.Go(func() error { return server.Serve(ctx, traffic) })
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("serve peers: %w", err)
--- a/internal/transport/target/client.go
+++ b/internal/transport/target/client.go
@@ -198,11 +198,6 @@
 	_ = response.Body.Close()
 }
 
-// Load asks a model engine for its load.
-func (c *Client) Load(ctx context.Context, address string) (*targetapi.Load, error) {
-	return getJSON[targetapi.Load](ctx, c.shared, address, targetapi.PathLoad)
-}
-
 // errStatus says that a target answered with another status than 200.
 var errStatus = errors.New("unexpected status")
 
