Stop gracefully: turn the balancer away, then finish both hops

Cause: a stopping daemon closed its listener at the moment it said that it was not ready, so the balancer's next requests failed; when every live daemon that was left was stopping, engines had no home and requests in progress ended with home_lost; after the stop timeout, and on a second signal, the process went on for ever because the operators' listener stayed open and the signal was swallowed.

Now SIGTERM makes it not ready and leaving, tells its peers at once, goes on accepting for limits.stop_delay (2 s by default) while each answer closes its connection, then closes the listeners and finishes what is in progress, its callers' first and then what it serves as a home. A daemon among leaving ones serves its own requests itself.

--- a/cmd/hemlockknotd/main.go
+++ b/cmd/hemlockknotd/main.go
@@ -59,5 +59,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	return process.Run(ctx)
 }
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -196,6 +196,7 @@
 
 // HomeOf returns the home daemon of an engine: the highest ranked of the live
 // daemons that are not leaving, those of the engine's failure domain first.
+// If all of them are leaving, this daemon serves what it has accepted itself.
 // The list excluded names daemons to pass over. It returns nil if none is left.
 func (t *Table) HomeOf(engine, failureDomain string, excluded []string, now time.Time) *peerpb.Member {
 	var inside, outside []ranking.Candidate
@@ -218,5 +219,8 @@
 			return byName[ranking.Order(key, candidates)[0]]
 		}
 	}
+	if !slices.Contains(excluded, t.self.GetName()) {
+		return t.self
+	}
 	return nil
 }
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -104,6 +104,9 @@
 	for n := range 10 {
 		must.Eq(t, "d0", a.HomeOf(fmt.Sprint(n), "0", nil, start).GetName())
 	}
+	a.Leave()
+	must.Eq(t, "d0", a.HomeOf("e", "0", nil, start).GetName())
+	must.Nil(t, a.HomeOf("e", "0", []string{"d0"}, start))
 }
 
 func TestDigestsStaySmallAtFullSize(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,21 +165,3 @@
 func (d *Daemon) ready() bool {
 	return !d.stopping.Load() && d.loop.Snapshot() != nil
 }
-
-// shutdown finishes the requests in progress before the process ends.
-func (d *Daemon) shutdown(operators *http.Server) error {
-	d.log.Info("stopping")
-	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.StopTimeout)
-	defer cancel()
-	d.loop.Do(func(state *control.State, _ time.Time) { state.Members.Leave() })
-	if err := d.callers.Shutdown(ctx); err != nil {
-		return fmt.Errorf("finish requests in progress: %w", err)
-	}
-	if err := d.home.Drain(ctx); err != nil {
-		return fmt.Errorf("finish forwarded requests in progress: %w", err)
-	}
-	_ = operators.Close()
-	d.log.Info("stopped")
-	return nil
-}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -56,6 +56,9 @@
 	BodyTimeout   time.Duration `yaml:"body_timeout"`
 	WriteTimeout  time.Duration `yaml:"write_timeout"` // for each part of an answer
 	StopTimeout   time.Duration `yaml:"stop_timeout"`  // of a graceful shutdown
+	// StopDelay is how long a stopping daemon that is no longer ready still accepts
+	// requests, so that the balancer can turn away from it.
+	StopDelay time.Duration `yaml:"stop_delay"`
 }
 
 // Default returns the settings that a file may leave out.
@@ -75,6 +78,7 @@
 			BodyTimeout:   15 * time.Second,
 			WriteTimeout:  15 * time.Second,
 			StopTimeout:   10 * time.Minute,
+			StopDelay:     2 * time.Second,
 		},
 	}
 }
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -43,8 +43,9 @@
 	limits  settings.Limits
 	metrics *metrics.Metrics
 	log     *log.Logger
-	stop    atomic.Bool
 	http    *http.Server
+
+	turnAway atomic.Bool
 }
 
 // New returns a server; Serve runs it.
@@ -67,9 +68,13 @@
 	return nil
 }
 
+// TurnAway lets each connection end with its present or next answer, so that
+// callers open new ones elsewhere. Requests are still served.
+func (s *Server) TurnAway() { s.turnAway.Store(true) }
+
 // Shutdown closes the listener and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stop.Store(true)
+	s.TurnAway()
 	return s.http.Shutdown(ctx)
 }
 
@@ -94,6 +99,9 @@
 // force and a known workspace. The handler's refusal is the answer.
 func (s *Server) handle(handler func(*exchange) *refusal.Refusal) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.turnAway.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		exchange := &exchange{id: xid.New().String(), w: w, r: r, snapshot: s.loop.Snapshot()}
 		refused := s.identify(exchange)
 		if refused == nil {
@@ -107,9 +115,6 @@
 
 // identify finds the workspace of a request by its bearer key.
 func (s *Server) identify(exchange *exchange) *refusal.Refusal {
-	if s.stop.Load() {
-		return refusal.NotRun(refusal.Stopping, time.Second, "the daemon is stopping")
-	}
 	if exchange.snapshot == nil {
 		return refusal.NotRun(refusal.NotReady, time.Second, "no document is in force yet")
 	}
