--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,10 +36,20 @@
 	platform  *platform.Client
 	peers     *peer.Client
 	home      *home.Server
+	prober    *target.Prober
 	callers   *caller.Server
 	traces    *trace.Log
 	listeners listeners
 	stopping  atomic.Bool
+	// told is the own in-flight counts as peers are told them, and toldAt when they
+	// were counted; the control goroutine owns both.
+	told   *peerpb.DaemonLoad
+	toldAt time.Time
+	// findingsChanged is when an engine's state last changed; owned likewise.
+	findingsChanged time.Time
+	// background ends when the daemon has stopped; it is set before any listener
+	// is served.
+	background context.Context
 }
 
 type listeners struct {
@@ -70,6 +80,7 @@
 		platform:  platform.NewClient(config.Platform.URL, counters),
 		peers:     peers,
 		home:      homeServer,
+		prober:    target.NewProber(counters.ProbeBytes),
 		callers:   caller.New(loop, router, config.Limits, counters, logger),
 		traces:    traces,
 		listeners: opened,
@@ -117,6 +128,7 @@
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 	}
 	group, background := errgroup.WithContext(background)
+	d.background = background
 	group.Go(func() error { d.loop.Run(background); return nil })
 	group.Go(func() error { return d.callers.Serve(d.listeners.callers) })
 	group.Go(func() error { return serveHTTP(operators, d.listeners.operators) })
@@ -124,8 +136,8 @@
 		return peer.Serve(background, d.listeners.peers, d.home, apartHandler{controlHandler{d}}, d.metrics)
 	})
 	group.Go(func() error { d.runSync(background); return nil })
-	group.Go(func() error { d.runEnvironment(background); return nil })
-	group.Go(func() error { d.runHosts(background); return nil })
+	group.Go(func() error { d.runPlatform(background); return nil })
+	group.Go(func() error { d.runProbes(background); return nil })
 	d.logListening()
 	group.Go(func() error {
 		defer cancel()
@@ -169,21 +181,3 @@
 func (d *Daemon) ready() bool {
 	return !d.stopping.Load() && d.loop.Snapshot() != nil
 }
-
-// shutdown finishes the requests in progress before the process ends.
-func (d *Daemon) shutdown(operators *http.Server) error {
-	d.log.Info("stopping")
-	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.StopTimeout)
-	defer cancel()
-	d.loop.Do(func(state *control.State, _ time.Time) { state.Members.Leave() })
-	if err := d.callers.Shutdown(ctx); err != nil {
-		return fmt.Errorf("finish requests in progress: %w", err)
-	}
-	if err := d.home.Drain(ctx); err != nil {
-		return fmt.Errorf("finish forwarded requests in progress: %w", err)
-	}
-	_ = operators.Close()
-	d.log.Info("stopped")
-	return nil
-}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -18,6 +18,7 @@
 	"hemlockknot/internal/coordination/home"
 	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/transport/counting"
 )
 
 // Prefixes that a client sends first on a connection.
@@ -114,12 +115,12 @@
 }
 
 // FetchDocument gets the document that a peer has in force.
-func (c *Client) FetchDocument(ctx context.Context, address string, known uint64) (*peerpb.DocumentReply, error) {
+func (c *Client) FetchDocument(ctx context.Context, address string, request *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentRPCLimit)
 	defer cancel()
 	conn := c.controlConn(ctx, address)
 	defer func() { _ = conn.Close() }()
-	reply, err := peerpb.NewDRPCPeerClient(conn).FetchDocument(ctx, &peerpb.DocumentRequest{KnownGeneration: known})
+	reply, err := peerpb.NewDRPCPeerClient(conn).FetchDocument(ctx, request)
 	if err != nil {
 		return nil, fmt.Errorf("fetch document from %s: %w", address, err)
 	}
@@ -157,7 +158,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("dial peer %s: %w", address, err)
 		}
-		counted := countConn(raw, counter)
+		var count func(n int)
+		if counter != nil {
+			count = counter.ControlBytes
+		}
+		counted := counting.Conn(raw, count)
 		return drpcconn.New(drpcmigrate.NewHeaderConn(counted, prefix)), nil
 	}
 }
