Keep where a chat is warm at the home of its first engine

Cause: only the home that had served a spilled chat remembered it, in its own directory. A chat that came back through another daemon went to its first engine and found no context; so did a chat whose engine had left and come back.

The first engine is now ranked over the document's engines, in use or not, so it stays the same while engines come and go. Its home is asked first: it names the engine that holds the context before anything runs, and the entry goes there; the first engine stays the next candidate. An entry whose request was answered elsewhere tells that home, with the next control round. New chats take the least loaded of their first three engines in use.

Ruled out: memory at the entry alone (a balancer sends a returning chat to any daemon, so it finds its entry in one of N); a question to the home in place of the call itself (one control message for each request).

Before: TestSpilledChatReturnsToItsWarmEngine expected e1, got e2; TestChatStaysWhereItIsWarmWhenItsEngineComesBack expected e3, got e1. After: both pass.

The directory keeps entries in eight parts by age and drops the oldest part, where it dropped arbitrary entries.

--- a/internal/coordination/control/candidates.go
+++ b/internal/coordination/control/candidates.go
@@ -6,28 +6,80 @@
 
 	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/state/environment"
 )
 
-// Candidates returns the engines of a service that take new work, best first
-// for a chat. An engine that is known to hold the chat's context comes first.
-func (s *State) Candidates(service string, chat uint64, now time.Time) []string {
+// choices is how many of a chat's first ranked engines compete for a request
+// that finds no context: the least loaded of them takes it.
+const choices = 3
+
+// Plan is where the entry daemon tries a request.
+type Plan struct {
+	// First is the chat's first engine, whose home daemon knows where the chat
+	// is; empty for a call that belongs to no chat.
+	First string
+	// Engines are the candidates, best first.
+	Engines []string
+}
+
+// Plan orders the engines of a service for a chat. The first engine comes first,
+// in use or not, as its home knows where the chat's context is. It depends on
+// the document alone, so that it stays the same while engines come and go. All
+// other candidates are in use. A request that finds no context, such as an
+// opening one, goes to the least loaded of the first ranked.
+func (s *State) Plan(service string, chat uint64, opening bool) Plan {
+	described := s.Snapshot.Document.Service(service)
+	order := s.ranked(service, chat)
+	if described == nil || len(order) == 0 {
+		return Plan{}
+	}
+	inUse := slices.DeleteFunc(slices.Clone(order), func(engine string) bool { return !s.Health.Takes(engine) })
+	if described.Kind == environment.KindPlain {
+		return Plan{Engines: s.leastLoadedFirst(inUse)}
+	}
+	plan := Plan{First: order[0]}
+	if opening {
+		plan.Engines = s.leastLoadedFirst(inUse)
+		return plan
+	}
+	others := slices.DeleteFunc(inUse, func(engine string) bool { return engine == plan.First })
+	plan.Engines = append([]string{plan.First}, s.leastLoadedFirst(others)...)
+	return plan
+}
+
+// ranked returns all engines of a service in the order of their rank for a chat.
+func (s *State) ranked(service string, chat uint64) []string {
 	var candidates []ranking.Candidate
 	for _, engine := range s.Snapshot.Document.EnginesOf(service) {
-		if s.Health.Takes(engine.Name) {
-			candidates = append(candidates, ranking.Candidate{
-				Name:   engine.Name,
-				Weight: float64(engine.Capacity),
-			})
+		candidates = append(candidates, ranking.Candidate{
+			Name:   engine.Name,
+			Weight: float64(engine.Capacity),
+		})
+	}
+	return ranking.Order(chat, candidates)
+}
+
+// leastLoadedFirst moves the least loaded of the first choices to the front.
+func (s *State) leastLoadedFirst(order []string) []string {
+	best := 0
+	for i := 1; i < min(choices, len(order)); i++ {
+		if s.relativeLoad(order[i]) < s.relativeLoad(order[best]) {
+			best = i
 		}
 	}
-	order := ranking.Order(chat, candidates)
-	warm, known := s.Directory.Lookup(chat, now)
-	if position := slices.Index(order, warm); known && position > 0 {
-		order = slices.Insert(slices.Delete(order, position, position+1), 0, warm)
+	if best > 0 {
+		engine := order[best]
+		order = slices.Insert(slices.Delete(order, best, best+1), 0, engine)
 	}
 	return order
 }
 
+// relativeLoad is what an engine carries by its capacity.
+func (s *State) relativeLoad(engineName string) float64 {
+	engine := s.Snapshot.Document.Engine(engineName)
+	return float64(s.Admission.InFlight(engineName)) / float64(engine.Capacity)
+}
+
 // HomeOf returns the home daemon of an engine, passing over excluded daemons.
 func (s *State) HomeOf(engineName string, excluded []string, now time.Time) *peerpb.Member {
 	engine := s.Snapshot.Document.Engine(engineName)
--- /dev/null
+++ b/internal/coordination/control/candidates_test.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/internal/coordination/health"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/state/environment"
+)
+
+const planDocument = `
+name: production
+places: [{name: here, failure_domain: one}]
+services: [{name: writer, kind: model}]
+engines:
+  - {name: e1, service: writer, place: here, address: "127.0.0.1:1", capacity: 8}
+  - {name: e2, service: writer, place: here, address: "127.0.0.1:2", capacity: 16}
+  - {name: e3, service: writer, place: here, address: "127.0.0.1:3", capacity: 8}
+  - {name: e4, service: writer, place: here, address: "127.0.0.1:4", capacity: 8}
+`
+
+func planState(t *testing.T) *State {
+	t.Helper()
+	document, err := environment.Parse([]byte(planDocument))
+	must.NoError(t, err)
+	state := New(&peerpb.Member{Name: "d1", FailureDomain: "one"}).state
+	state.Snapshot = &Snapshot{Generation: 1, Document: document}
+	state.Admission.SetDocument(document)
+	return state
+}
+
+func TestPlan(t *testing.T) {
+	const chat = 42
+	order := planState(t).ranked("writer", chat)
+	a, b, c, d := order[0], order[1], order[2], order[3]
+	for _, test := range []struct {
+		name    string
+		opening bool
+		leaving string
+		loaded  []string
+		want    []string
+	}{
+		{"returning, idle", false, "", nil, []string{a, b, c, d}},
+		{"returning, its first engine is loaded", false, "", []string{a}, []string{a, b, c, d}},
+		{"returning, the second engine is loaded", false, "", []string{b}, []string{a, c, b, d}},
+		{"returning, its first engine is leaving", false, a, nil, []string{a, b, c, d}},
+		{"opening, idle", true, "", nil, []string{a, b, c, d}},
+		{"opening, two are loaded", true, "", []string{a, b}, []string{c, a, b, d}},
+		{"opening, the first is leaving and one is loaded", true, a, []string{b}, []string{c, b, d}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			state := planState(t)
+			if test.leaving != "" {
+				state.Health.Note(test.leaving, health.Leaving, health.SourcePlatform, time.Now())
+			}
+			load := &peerpb.DaemonLoad{Daemon: "d2"}
+			for _, engine := range test.loaded {
+				load.Counts = append(load.Counts, &peerpb.EngineCount{Engine: engine, InFlight: 4})
+			}
+			state.Admission.MergeLoads("d1", []*peerpb.DaemonLoad{load})
+			must.Eq(t, Plan{First: a, Engines: test.want}, state.Plan("writer", chat, test.opening))
+		})
+	}
+}
+
+func TestPlacementsGoToTheHomeOfTheFirstEngine(t *testing.T) {
+	now := time.Now()
+	state := planState(t)
+	state.Members.Merge([]*peerpb.Member{{Name: "d2", Address: "d2:1", FailureDomain: "one"}}, now)
+	for i, first := range []string{"e1", "e2", "e3", "e4"} {
+		state.NotePlacement(uint64(i+1), first, "e9", now)
+	}
+	waiting := state.TakePlacements()
+	must.Positive(t, state.Directory.Len())
+	must.Positive(t, len(waiting["d2:1"]))
+	must.Eq(t, 4, state.Directory.Len()+len(waiting["d2:1"]))
+	for _, entry := range waiting["d2:1"] {
+		must.Eq(t, "d2", state.HomeOf(entry.GetFirstEngine(), nil, now).GetName())
+	}
+	must.MapEmpty(t, state.TakePlacements())
+}
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -36,7 +36,8 @@
 	Directory *directory.Directory
 	Snapshot  *Snapshot // nil until a document is in force
 
-	watches map[string]chan struct{} // by member, closed when it goes down
+	watches    map[string]chan struct{}            // by member, closed when it goes down
+	placements map[string][]*peerpb.DirectoryEntry // for peers, by address
 }
 
 // Loop runs the control goroutine.
@@ -54,11 +55,12 @@
 		operations: make(chan func(), queueLength),
 		stopped:    make(chan struct{}),
 		state: &State{
-			Members:   member.New(self),
-			Health:    engines,
-			Admission: admission.New(engines.Takes),
-			Directory: directory.New(),
-			watches:   make(map[string]chan struct{}),
+			Members:    member.New(self),
+			Health:     engines,
+			Admission:  admission.New(engines.Takes),
+			Directory:  directory.New(),
+			watches:    make(map[string]chan struct{}),
+			placements: make(map[string][]*peerpb.DirectoryEntry),
 		},
 	}
 }
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -11,11 +11,12 @@
 
 // attempt is one try of a request at one home daemon.
 type attempt struct {
-	path *route.Route
-	home string
-	call *peerpb.Call
-	sink Sink
-	gone error // why the caller is gone, if it is
+	path    *route.Route
+	home    string
+	call    *peerpb.Call
+	sink    Sink
+	gone    error               // why the caller is gone, if it is
+	started func(engine string) // told where the answer has started
 }
 
 // run makes the try and reports whether the answer is complete. The exchange
@@ -94,6 +95,7 @@
 	case *peerpb.ForwardDown_Started:
 		a.path.Started()
 		a.sink.Started(body.Started.GetEngine())
+		a.started(body.Started.GetEngine())
 	case *peerpb.ForwardDown_Head:
 		return false, a.sink.Head(int(body.Head.GetStatus()), body.Head.GetHeaders())
 	case *peerpb.ForwardDown_Data:
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -61,15 +61,18 @@
 type Request struct {
 	Call      *peerpb.Call // Engine, Resume and LastResort are filled in here
 	Resumable bool
+	Opening   bool // a chat's first request: no engine holds its context
 }
 
 // Serve brings the request's answer to the sink. A refusal means that the
 // answer is not complete; what the sink has received so far is its beginning.
 func (r *Router) Serve(ctx context.Context, request Request, sink Sink) ([]route.Trace, *refusal.Refusal) {
+	plan := r.plan(request)
+	request.Call.FirstEngine = plan.First
 	path := route.New(route.Request{
 		Repeatable: request.Call.GetRepeatable(),
 		Resumable:  request.Resumable,
-	}, r.candidates(request.Call))
+	}, plan.Engines)
 	for {
 		try, refused := path.Next()
 		if refused != nil {
@@ -97,14 +100,25 @@
 	return refusal.Unknown(refusal.CallerGone, "after %d tries: %v", len(path.Trace()), err)
 }
 
-func (r *Router) candidates(call *peerpb.Call) []string {
-	var candidates []string
-	r.loop.Do(func(state *control.State, now time.Time) {
+func (r *Router) plan(request Request) control.Plan {
+	var plan control.Plan
+	r.loop.Do(func(state *control.State, _ time.Time) {
 		if state.Snapshot != nil {
-			candidates = state.Candidates(call.GetService(), call.GetChatKey(), now)
+			plan = state.Plan(request.Call.GetService(), request.Call.GetChatKey(), request.Opening)
 		}
 	})
-	return candidates
+	return plan
+}
+
+// placed notes where the answer of a chat has started, for the home of the
+// chat's first engine.
+func (r *Router) placed(call *peerpb.Call, engine string) {
+	if call.GetFirstEngine() == "" || call.GetFirstEngine() == engine {
+		return
+	}
+	r.loop.Do(func(state *control.State, now time.Time) {
+		state.NotePlacement(call.GetChatKey(), call.GetFirstEngine(), engine, now)
+	})
 }
 
 // try makes one try and reports whether the answer is complete.
@@ -115,7 +129,11 @@
 		return false
 	}
 	call := tryCall(request.Call, try)
-	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink}
+	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, started: func(engine string) {
+		if !try.Warm {
+			r.placed(call, engine)
+		}
+	}}
 	return attempt.run(ctx, r.opener, home, down)
 }
 
@@ -135,23 +153,25 @@
 
 func tryCall(template *peerpb.Call, try route.Try) *peerpb.Call {
 	call := &peerpb.Call{
-		RequestId:  template.GetRequestId(),
-		Service:    template.GetService(),
-		Engine:     try.Engine,
-		Workspace:  template.GetWorkspace(),
-		Class:      template.GetClass(),
-		ChatKey:    template.GetChatKey(),
-		Priority:   template.GetPriority(),
-		DeadlineMs: template.GetDeadlineMs(),
-		Generation: template.GetGeneration(),
-		Method:     template.GetMethod(),
-		Path:       template.GetPath(),
-		Headers:    template.GetHeaders(),
-		Body:       template.GetBody(),
-		Repeatable: template.GetRepeatable(),
-		AskStart:   template.GetAskStart(),
-		Resume:     try.Resume,
-		LastResort: try.LastResort,
+		RequestId:   template.GetRequestId(),
+		Service:     template.GetService(),
+		Engine:      try.Engine,
+		Workspace:   template.GetWorkspace(),
+		Class:       template.GetClass(),
+		ChatKey:     template.GetChatKey(),
+		Priority:    template.GetPriority(),
+		DeadlineMs:  template.GetDeadlineMs(),
+		Generation:  template.GetGeneration(),
+		Method:      template.GetMethod(),
+		Path:        template.GetPath(),
+		Headers:     template.GetHeaders(),
+		Body:        template.GetBody(),
+		Repeatable:  template.GetRepeatable(),
+		AskStart:    template.GetAskStart(),
+		Resume:      try.Resume,
+		LastResort:  try.LastResort,
+		FirstEngine: template.GetFirstEngine(),
+		Located:     try.Located,
 	}
 	return call
 }
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -98,6 +98,9 @@
 	if engine == nil {
 		return refuse(link, refusal.NotRun(refusal.EngineUnknown, 0, "engine %s is not in the document", call.GetEngine()))
 	}
+	if refused := s.redirect(call); refused != nil {
+		return refuse(link, refused)
+	}
 	request := admissionRequest(call)
 	if refused := s.loop.Admit(link.Context(), request); refused != nil {
 		return refuse(link, refused)
@@ -153,7 +156,7 @@
 		s.noteRefusal(call.GetEngine(), refused)
 		return refuse(link, refused)
 	}
-	s.remember(call)
+	s.noteServed(call)
 	if answer.Events == nil {
 		return relayBody(link, call, answer)
 	}
@@ -196,12 +199,32 @@
 	return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Head{Head: head}})
 }
 
-func (s *Server) remember(call *peerpb.Call) {
-	if call.GetChatKey() == 0 {
-		return
+// redirect refuses a call at its chat's first engine when the chat is known to
+// be warm at another engine.
+func (s *Server) redirect(call *peerpb.Call) *refusal.Refusal {
+	if call.GetFirstEngine() != call.GetEngine() || call.GetLocated() || call.GetResume() != nil {
+		return nil
 	}
+	var warm string
 	s.loop.Do(func(state *control.State, now time.Time) {
-		state.Directory.Remember(call.GetChatKey(), call.GetEngine(), now)
+		warm = state.WarmEngine(call.GetChatKey(), call.GetEngine(), now)
+	})
+	if warm == "" {
+		return nil
+	}
+	refused := refusal.NotRun(refusal.ChatElsewhere, 0, "the chat's context is at engine %s", warm)
+	refused.Better = warm
+	return refused
+}
+
+// noteServed forgets where a chat was elsewhere once its first engine has served
+// it. Where it is elsewhere, the entry says.
+func (s *Server) noteServed(call *peerpb.Call) {
+	if call.GetFirstEngine() != call.GetEngine() {
+		return
+	}
+	s.loop.Do(func(state *control.State, _ time.Time) {
+		state.Directory.Forget(call.GetChatKey())
 	})
 }
 
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -35,6 +35,8 @@
 	ExcludedHomes []string
 	Resume        *peerpb.Resume
 	LastResort    bool // no other candidate is left after this one
+	Located       bool // the chat's directory has been asked
+	Warm          bool // the directory has named this engine
 }
 
 // Trace is what became of one try, for operators.
@@ -52,9 +54,10 @@
 	current    string
 	engines    int // tried so far
 	homes      []string
-	sameEngine bool // the next try goes to the current engine's next home
-	mayRun     bool // the current try may have been dispatched
-	started    bool // the engine has started the current try
+	sameEngine bool   // the next try goes to the current engine's next home
+	warm       string // the engine that the chat's directory has named
+	mayRun     bool   // the current try may have been dispatched
+	started    bool   // the engine has started the current try
 	offset     uint64
 	final      *refusal.Refusal
 	last       *refusal.Refusal
@@ -97,6 +100,8 @@
 		Engine:        r.current,
 		ExcludedHomes: slices.Clone(r.homes),
 		LastResort:    len(r.candidates) == 0 || r.engines >= MaxEngines,
+		Located:       r.warm != "",
+		Warm:          r.warm == r.current,
 	}
 	if r.started {
 		try.Resume = &peerpb.Resume{Engine: r.current, Offset: r.offset}
@@ -138,6 +143,10 @@
 
 // Refused notes that a home refused the current try.
 func (r *Route) Refused(home string, refused *refusal.Refusal) {
+	if refused.Reason == refusal.ChatElsewhere {
+		r.redirect(home, refused)
+		return
+	}
 	if !spills(refused.Reason) {
 		r.fail(home, refused)
 		return
@@ -158,6 +167,16 @@
 	r.note(home, refused)
 }
 
+// redirect goes to the engine that holds the chat's context. The engine whose
+// home knew of it has refused nothing, so it stays the next candidate.
+func (r *Route) redirect(home string, refused *refusal.Refusal) {
+	r.trace = append(r.trace, Trace{Engine: r.current, Home: home, Reason: refused.Reason, Detail: refused.Detail})
+	r.candidates = slices.Insert(r.candidates, 0, r.current)
+	r.prefer(refused.Better)
+	r.engines--
+	r.warm = refused.Better
+}
+
 // spills reports whether another engine may take a request refused so.
 func spills(reason refusal.Reason) bool {
 	switch reason {
--- /dev/null
+++ b/internal/coordination/route/route_test.go
@@ -0,0 +1,34 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/internal/protocol/refusal"
+)
+
+// A redirect is no refusal by the first engine: it stays the next candidate and
+// uses up no try.
+func TestRedirectKeepsTheFirstEngine(t *testing.T) {
+	r := New(Request{Repeatable: true}, []string{"e1", "e2", "e3", "e4", "e5"})
+	try, _ := r.Next()
+	must.Eq(t, Try{Engine: "e1"}, try)
+	elsewhere := refusal.NotRun(refusal.ChatElsewhere, 0, "")
+	elsewhere.Better = "e3"
+	r.Refused("d1", elsewhere)
+	for _, want := range []Try{
+		{Engine: "e3", Located: true, Warm: true},
+		{Engine: "e1", Located: true},
+		{Engine: "e2", Located: true},
+		{Engine: "e4", Located: true, LastResort: true},
+	} {
+		try, refused := r.Next()
+		must.Nil(t, refused)
+		must.Eq(t, want, try)
+		r.Refused("d2", refusal.NotRun(refusal.EngineBusy, time.Second, ""))
+	}
+	_, refused := r.Next()
+	must.Eq(t, refusal.EngineBusy, refused.Reason)
+}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -26,6 +26,7 @@
 			if address := d.pickPeer(); address != "" {
 				go d.syncWith(ctx, address)
 			}
+			d.sendPlacements(ctx)
 		}
 	}
 }
@@ -112,7 +113,7 @@
 func (h controlHandler) Handover(_ context.Context, request *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
 	h.daemon.loop.Do(func(state *control.State, now time.Time) {
 		for _, entry := range request.GetEntries() {
-			state.Directory.Remember(entry.GetChatKey(), entry.GetEngine(), now)
+			state.TakeEntry(entry, now)
 		}
 	})
 	return new(peerpb.HandoverReply), nil
--- /dev/null
+++ b/internal/integration/reuse_test.go
@@ -0,0 +1,156 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/internal/coordination/health"
+	"hemlockknot/internal/coordination/ranking"
+	"hemlockknot/internal/state/platform"
+)
+
+// firstEngine returns the engine that ranks first for a named chat of the small
+// fleet's model.
+func firstEngine(f *fleet, chat string) string {
+	var candidates []ranking.Candidate
+	for _, engine := range f.document.Engines {
+		if engine.Service == "writer" {
+			candidates = append(candidates, ranking.Candidate{Name: engine.Name, Weight: float64(engine.Capacity)})
+		}
+	}
+	return ranking.Order(ranking.Hash("chat", "members", "writer", chat), candidates)[0]
+}
+
+// chatsOf returns the names of chats whose first engine is the one named.
+func chatsOf(f *fleet, engineName string, count int) []string {
+	var chats []string
+	for n := 0; len(chats) < count; n++ {
+		if chat := fmt.Sprintf("chat-%d", n); firstEngine(f, chat) == engineName {
+			chats = append(chats, chat)
+		}
+	}
+	return chats
+}
+
+// publishHostState writes what the platform's host list says about an engine,
+// and waits until all daemons know.
+func publishHostState(f *fleet, engineName, text string, state health.State) {
+	f.t.Helper()
+	client := f.platformClient()
+	spec, err := json.Marshal(platform.HostSpec{State: text})
+	must.NoError(f.t, err)
+	object := &platform.Object{Metadata: platform.Metadata{Name: engineName}, Spec: spec}
+	if present, err := client.Get(context.Background(), platform.KindHosts, engineName); err == nil {
+		object.Metadata.ResourceVersion = present.Metadata.ResourceVersion
+		_, err = client.Update(context.Background(), platform.KindHosts, object)
+		must.NoError(f.t, err)
+	} else {
+		_, err = client.Create(context.Background(), platform.KindHosts, object)
+		must.NoError(f.t, err)
+	}
+	for name, daemon := range f.daemons {
+		waitFor(f.t, settleLimit, fmt.Sprintf("%s sees %s as %s", name, engineName, text), func() bool {
+			status, err := daemonStatus(daemon)
+			if err != nil {
+				return false
+			}
+			for _, engine := range status.Engines {
+				if engine.Name == engineName {
+					return engine.State == uint32(state)
+				}
+			}
+			return false
+		})
+	}
+}
+
+// awaitChatsKnown waits until the fleet's directories hold that many chats.
+func awaitChatsKnown(f *fleet, count int) {
+	f.t.Helper()
+	waitFor(f.t, settleLimit, fmt.Sprintf("the directories hold %d chats", count), func() bool {
+		known := 0
+		for _, daemon := range f.daemons {
+			status, err := daemonStatus(daemon)
+			if err != nil {
+				return false
+			}
+			known += status.ChatsKnown
+		}
+		return known >= count
+	})
+}
+
+// TestSpilledChatReturnsToItsWarmEngine overloads one engine through one daemon
+// and lets every chat return through the other daemon.
+func TestSpilledChatReturnsToItsWarmEngine(t *testing.T) {
+	const crowd = 20 // more than the smallest engine's capacity
+	f := startSmallFleet(t)
+	chats := chatsOf(f, "e2", crowd)
+	engines := make([]string, crowd)
+	var group sync.WaitGroup
+	for i, chat := range chats {
+		group.Go(func() {
+			request := chatRequest{model: "hk-small", chat: chat, maxTokens: longAnswer, stream: true, key: testKey}
+			served := request.send(context.Background(), f.daemons["d1"])
+			if served.complete {
+				engines[i] = served.engine()
+			}
+		})
+	}
+	group.Wait()
+	elsewhere := 0
+	for _, engineName := range engines {
+		if engineName != "" && engineName != "e2" {
+			elsewhere++
+		}
+	}
+	must.Positive(t, elsewhere)
+	awaitChatsKnown(f, elsewhere)
+	for i, chat := range chats {
+		if engines[i] == "" {
+			continue // refused while all were full
+		}
+		request := chatRequest{model: "hk-small", chat: chat, turns: 2, maxTokens: 1, stream: true, key: testKey}
+		again := request.send(context.Background(), f.daemons["d2"])
+		must.True(t, again.complete)
+		must.Eq(t, engines[i], again.engine(), must.Sprintf("chat %s", chat))
+		must.Positive(t, again.cached)
+	}
+}
+
+// TestChatStaysWhereItIsWarmWhenItsEngineComesBack takes an engine away and
+// brings it back: a chat that went on elsewhere stays there, and one that did
+// not return meanwhile is found where it was.
+func TestChatStaysWhereItIsWarmWhenItsEngineComesBack(t *testing.T) {
+	f := startSmallFleet(t)
+	chats := chatsOf(f, "e1", 2)
+	moving := chatRequest{model: "hk-small", chat: chats[0], maxTokens: 1, stream: true, key: testKey}
+	resting := chatRequest{model: "hk-small", chat: chats[1], maxTokens: 1, stream: true, key: testKey}
+	must.Eq(t, "e1", moving.send(context.Background(), f.daemons["d1"]).engine())
+	must.Eq(t, "e1", resting.send(context.Background(), f.daemons["d1"]).engine())
+
+	publishHostState(f, "e1", "leaving", health.Leaving)
+	moving.turns = 1
+	interim := moving.send(context.Background(), f.daemons["d1"])
+	must.True(t, interim.complete)
+	must.NotEq(t, "e1", interim.engine())
+	awaitChatsKnown(f, 1)
+
+	publishHostState(f, "e1", "live", health.Live)
+	for _, daemon := range f.daemons {
+		moving.turns++
+		again := moving.send(context.Background(), daemon)
+		must.True(t, again.complete)
+		must.Eq(t, interim.engine(), again.engine())
+		must.Positive(t, again.cached)
+	}
+	resting.turns = 1
+	rested := resting.send(context.Background(), f.daemons["d2"])
+	must.Eq(t, "e1", rested.engine())
+	must.Positive(t, rested.cached)
+}
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -36,6 +36,17 @@
 	return request, nil
 }
 
+// Opens reports whether the request is its conversation's first: it holds no
+// answer yet.
+func (r *Request) Opens() bool {
+	for _, message := range r.Messages {
+		if message.Role == "assistant" {
+			return false
+		}
+	}
+	return true
+}
+
 // Opening returns the text that names a conversation that has no name: its
 // messages up to and including the first one that is not the system's.
 func (r *Request) Opening() string {
--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -30,6 +30,7 @@
 	EngineLeaving     Reason = "engine_leaving"
 	EngineUnknown     Reason = "engine_unknown"
 	EngineFailed      Reason = "engine_failed"
+	ChatElsewhere     Reason = "chat_elsewhere" // between daemons only
 	NoEngine          Reason = "no_engine"
 	WorkspaceLimit    Reason = "workspace_limit"
 	DeadlineUnmet     Reason = "deadline_unmet"
--- /dev/null
+++ b/internal/state/directory/directory_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// maxBytesPerEntry is the stated limit.
+const maxBytesPerEntry = 64
+
+var start = time.Unix(1_000_000, 0)
+
+func TestLookup(t *testing.T) {
+	d := New()
+	d.Remember(1, "e1", "e2", start)
+	d.Remember(2, "e1", "e3", start)
+	d.Remember(1, "e1", "e3", start.Add(time.Hour))
+	d.Forget(2)
+	must.Eq(t, 1, d.Len())
+	for _, c := range []struct {
+		chat  uint64
+		now   time.Time
+		want  string
+		known bool
+	}{
+		{1, start.Add(time.Hour), "e3", true},
+		{1, start.Add(time.Hour + EntryLifetime - time.Second), "e3", true},
+		{1, start.Add(time.Hour + EntryLifetime), "", false},
+		{2, start, "", false},
+	} {
+		engine, known := d.Lookup(c.chat, c.now)
+		must.Eq(t, c.want, engine)
+		must.Eq(t, c.known, known)
+	}
+}
+
+// Evicting arbitrary entries instead loses recent chats here.
+func TestOldestEntriesGoFirst(t *testing.T) {
+	d := New()
+	for chat := range uint64(2 * MaxEntries) {
+		d.Remember(chat, "e1", "e2", start)
+		must.LessEq(t, MaxEntries, d.Len())
+	}
+	const kept = MaxEntries - perGeneration
+	for chat := uint64(2*MaxEntries - kept); chat < 2*MaxEntries; chat++ {
+		_, known := d.Lookup(chat, start)
+		must.True(t, known)
+	}
+}
+
+func TestEntriesPassToAnotherDirectory(t *testing.T) {
+	from, to := New(), New()
+	from.Remember(1, "e1", "e2", start)
+	from.Remember(2, "e3", "e4", start.Add(-EntryLifetime-time.Minute))
+	for entry := range from.All(start) {
+		to.Put(entry, start)
+	}
+	must.Eq(t, 1, to.Len())
+	for entry := range to.All(start) {
+		must.Eq(t, Entry{Chat: 1, First: "e1", Engine: "e2", Expires: start.Add(EntryLifetime)}, entry)
+	}
+}
+
+func TestBytesOfAnEntry(t *testing.T) {
+	for _, entries := range []int{34_000, MaxEntries} {
+		before := heapBytes()
+		d := New()
+		for chat := range uint64(entries) {
+			d.Remember(chat*0x9e3779b97f4a7c15, "e1", "e2", start)
+		}
+		bytes := float64(heapBytes()-before) / float64(d.Len())
+		t.Logf("%d entries: %.1f bytes each", entries, bytes)
+		must.Less(t, maxBytesPerEntry, bytes)
+		runtime.KeepAlive(d)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -36,7 +36,7 @@
 	call.Path = targetapi.PathChat
 	call.Repeatable = true
 	call.ChatKey = chatKey(exchange, service, parsed)
-	return s.serve(exchange, entry.Request{Call: call, Resumable: parsed.Stream})
+	return s.serve(exchange, entry.Request{Call: call, Resumable: parsed.Stream, Opening: parsed.Opens()})
 }
 
 // chatKey names the chat: by the caller's header, or else by its opening.
--- a/internal/transport/caller/plain.go
+++ b/internal/transport/caller/plain.go
@@ -26,5 +26,5 @@
 	call.AskStart = !call.Repeatable
 	// The request's own id spreads the calls over the engines.
 	call.ChatKey = ranking.Hash("call", exchange.id)
-	return s.serve(exchange, entry.Request{Call: call})
+	return s.serve(exchange, entry.Request{Call: call, Opening: true})
 }
