--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,6 +39,8 @@
 	WrongIDs int `json:"wrong_ids"`
 	// Frozen stops all tokens.
 	Frozen bool `json:"frozen"`
+	// ClearCache empties the prefix cache at once, as a restart does.
+	ClearCache bool `json:"clear_cache"`
 }
 
 // Record is one request that the engine has started.
@@ -106,6 +108,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
+	if fault.ClearCache {
+		s.cache = newPrefixCache(s.config.CacheTokens)
+	}
 }
 
 func (s *Server) getRecords(w http.ResponseWriter, _ *http.Request) {
