Move directory entries with the homes of their engines; measure the rest

Cause: when a daemon joins, it becomes home of some engines and knew nothing of their chats. A daemon whose entries' first engines have another home now passes them on, at most 128 a second. Once it is leaving, all its entries are due, so a planned stop can use the same function.

Placements are sent once a second in place of four times: a chat returns after its answer at the earliest, and the messages' frames outweigh their entries.

--- a/internal/coordination/control/candidates.go
+++ b/internal/coordination/control/candidates.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -59,19 +60,23 @@
 	return ranking.Order(chat, candidates)
 }
 
-// leastLoadedFirst moves the least loaded of the first choices to the front.
+// leastLoadedFirst moves the least loaded of the first choices to the front and
+// puts the others in the order of their load, so that a further try goes where
+// it is most likely to be taken.
 func (s *State) leastLoadedFirst(order []string) []string {
-	best := 0
-	for i := 1; i < min(choices, len(order)); i++ {
-		if s.relativeLoad(order[i]) < s.relativeLoad(order[best]) {
-			best = i
-		}
+	if len(order) == 0 {
+		return order
 	}
-	if best > 0 {
-		engine := order[best]
-		order = slices.Insert(slices.Delete(order, best, best+1), 0, engine)
+	loads := make(map[string]float64, len(order))
+	for _, engine := range order {
+		loads[engine] = s.relativeLoad(engine)
 	}
-	return order
+	byLoad := func(a, b string) int { return cmp.Compare(loads[a], loads[b]) }
+	best := slices.Index(order, slices.MinFunc(order[:min(choices, len(order))], byLoad))
+	engine := order[best]
+	others := slices.Delete(order, best, best+1)
+	slices.SortStableFunc(others, byLoad)
+	return slices.Insert(others, 0, engine)
 }
 
 // relativeLoad is what an engine carries by its capacity.
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -110,6 +110,18 @@
 	return live
 }
 
+// HomesHash returns a hash of the daemons that may be homes. While it stays the
+// same, so do the homes of all engines.
+func (t *Table) HomesHash(now time.Time) uint64 {
+	var names []string
+	for _, member := range t.Live(now) {
+		if !member.GetLeaving() {
+			names = append(names, member.GetName())
+		}
+	}
+	return ranking.Hash(names...)
+}
+
 // AddressFor returns the address at which a daemon of a failure domain reaches a
 // member.
 func AddressFor(member *peerpb.Member, failureDomain string) string {
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -168,10 +168,11 @@
 }
 
 // redirect goes to the engine that holds the chat's context. The engine whose
-// home knew of it has refused nothing, so it stays the next candidate.
+// home knew of it has refused nothing, so it stays a candidate; it comes last,
+// as the others are ordered by their load.
 func (r *Route) redirect(home string, refused *refusal.Refusal) {
 	r.trace = append(r.trace, Trace{Engine: r.current, Home: home, Reason: refused.Reason, Detail: refused.Detail})
-	r.candidates = slices.Insert(r.candidates, 0, r.current)
+	r.candidates = append(r.candidates, r.current)
 	r.prefer(refused.Better)
 	r.engines--
 	r.warm = refused.Better
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -8,14 +8,47 @@
 	"hemlockknot/internal/protocol/peerpb"
 )
 
+// placementRounds is how many control rounds pass between placements. A chat
+// returns after its answer at the earliest, and few messages cost few bytes.
+const placementRounds = 4
+
+// straysPerRound bounds the entries that move in one control round.
+const straysPerRound = 128
+
 // sendPlacements tells the homes of chats' first engines where the chats went.
 // A message that is lost costs cache reuse only, so it is not repeated.
 func (d *Daemon) sendPlacements(ctx context.Context) {
 	var waiting map[string][]*peerpb.DirectoryEntry
 	d.loop.Do(func(state *control.State, _ time.Time) { waiting = state.TakePlacements() })
+	d.sendEntries(ctx, waiting)
+}
+
+// strayMover passes directory entries on when the homes of their first engines
+// change, a few at a time.
+type strayMover struct {
+	homes  uint64 // hash of the daemons that may be homes
+	moving bool
+}
+
+// round moves some entries if the fleet has changed and entries are left.
+func (m *strayMover) round(ctx context.Context, d *Daemon) {
+	var strays map[string][]*peerpb.DirectoryEntry
+	d.loop.Do(func(state *control.State, now time.Time) {
+		if homes := state.Members.HomesHash(now); homes != m.homes {
+			m.homes, m.moving = homes, true
+		}
+		if m.moving {
+			strays = state.TakeStrays(straysPerRound, now)
+		}
+	})
+	m.moving = len(strays) > 0
+	d.sendEntries(ctx, strays)
+}
+
+func (d *Daemon) sendEntries(ctx context.Context, waiting map[string][]*peerpb.DirectoryEntry) {
 	for address, entries := range waiting {
 		go func() {
-			request := &peerpb.HandoverRequest{Sender: d.settings.Name, Entries: entries}
+			request := &peerpb.HandoverRequest{Entries: entries}
 			if err := d.peers.Handover(ctx, address, request); err != nil {
 				d.log.Debug("placements not sent", "step", "send placements", "peer", address, "err", err)
 			}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -17,6 +17,8 @@
 func (d *Daemon) runSync(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
+	rounds := 0
+	var strays strayMover
 	for {
 		select {
 		case <-ctx.Done():
@@ -26,7 +28,10 @@
 			if address := d.pickPeer(); address != "" {
 				go d.syncWith(ctx, address)
 			}
-			d.sendPlacements(ctx)
+			if rounds++; rounds%placementRounds == 0 {
+				d.sendPlacements(ctx)
+				strays.round(ctx, d)
+			}
 		}
 	}
 }
--- a/internal/measure/counters.go
+++ b/internal/measure/counters.go
@@ -12,9 +12,10 @@
 
 // Names of the daemons' counters.
 const (
-	controlBytes  = "hemlockknot_control_bytes_total"
-	probeBytes    = "hemlockknot_probe_bytes_total"
-	retriesPrefix = `hemlockknot_retries_total{reason=`
+	controlBytes   = "hemlockknot_control_bytes_total"
+	probeBytes     = "hemlockknot_probe_bytes_total"
+	retriesPrefix  = `hemlockknot_retries_total{reason=`
+	refusalsPrefix = `hemlockknot_refusals_total{reason=`
 )
 
 // counters returns the daemons' counters, summed over the daemons, by name with
--- a/internal/measure/play.go
+++ b/internal/measure/play.go
@@ -16,15 +16,16 @@
 
 // played is what came of a trace under one policy.
 type played struct {
-	fleet    *fleet
-	begun    time.Time
-	records  [][]engine.Record // by engine
-	absences []absence
-	duration time.Duration
-	requests int64              // answered whole
-	refused  int64              // tries that were refused
-	failed   int64              // requests that were not answered
-	counters map[string]float64 // of the daemons, summed
+	fleet       *fleet
+	begun       time.Time
+	records     [][]engine.Record // by engine
+	absences    []absence
+	duration    time.Duration
+	requests    int64              // answered whole
+	refused     int64              // tries that were refused
+	refusedLate int64              // of them, after the warm-up
+	failed      int64              // requests that were not answered
+	counters    map[string]float64 // of the daemons, summed
 }
 
 // play runs a trace through a policy on the fleet.
@@ -101,9 +102,16 @@
 			atomic.AddInt64(&p.requests, 1)
 			return nil
 		}
-		atomic.AddInt64(&p.refused, 1)
+		p.countRefused()
 		if err := pause(ctx, retryPause); err != nil {
 			return err
 		}
 	}
 }
+
+func (p *played) countRefused() {
+	atomic.AddInt64(&p.refused, 1)
+	if time.Since(p.begun) > warmUp {
+		atomic.AddInt64(&p.refusedLate, 1)
+	}
+}
