Measure the slopes of memory and processor time, and what cache events could gain

The gain is the most that reuse could rise if the directory knew of every eviction at once, worked out from the engines' records.

--- a/internal/measure/judge.go
+++ b/internal/measure/judge.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,15 +16,8 @@
 // reuse returns the returning requests' cached prompt tokens by the tokens that
 // could have been cached: those that the same chat's request before had.
 func reuse(records [][]engine.Record) float64 {
-	chats := make(map[string][]engine.Record)
-	for _, ofEngine := range records {
-		for _, record := range ofEngine {
-			chats[record.Chat] = append(chats[record.Chat], record)
-		}
-	}
 	var cached, reusable int
-	for _, requests := range chats {
-		slices.SortFunc(requests, func(a, b engine.Record) int { return int(a.StartMS - b.StartMS) })
+	for _, requests := range byChat(records) {
 		for i := 1; i < len(requests); i++ {
 			known := min(requests[i].PromptTokens, requests[i-1].PromptTokens)
 			reusable += known
@@ -33,6 +27,57 @@
 	return float64(cached) / float64(max(1, reusable))
 }
 
+// served is a record with its engine.
+type served struct {
+	engine.Record
+	engine int
+}
+
+// byChat returns each chat's requests in the order of their start.
+func byChat(records [][]engine.Record) map[string][]served {
+	chats := make(map[string][]served)
+	for i, ofEngine := range records {
+		for _, record := range ofEngine {
+			chats[record.Chat] = append(chats[record.Chat], served{record, i})
+		}
+	}
+	for _, requests := range chats {
+		slices.SortStableFunc(requests, func(a, b served) int { return cmp.Compare(a.StartMS, b.StartMS) })
+	}
+	return chats
+}
+
+// evictionGain is the most that reuse could rise if the directory knew of every
+// eviction at once: a request that returned to its last engine and found nothing
+// would then find all that any other engine has ever held of its chat.
+func evictionGain(records [][]engine.Record) float64 {
+	var gained, reusable int
+	for _, requests := range byChat(records) {
+		held := make(map[int]int) // prompt tokens by engine
+		for i, request := range requests {
+			if i > 0 {
+				last := requests[i-1]
+				reusable += min(request.PromptTokens, last.PromptTokens)
+				if last.engine == request.engine && request.CachedTokens == 0 {
+					gained += mostElsewhere(held, request.engine)
+				}
+			}
+			held[request.engine] = request.PromptTokens
+		}
+	}
+	return float64(gained) / float64(max(1, reusable))
+}
+
+func mostElsewhere(held map[int]int, here int) int {
+	most := 0
+	for engine, tokens := range held {
+		if engine != here {
+			most = max(most, tokens)
+		}
+	}
+	return most
+}
+
 // skew returns, sample by sample, the busiest live engine's load over the mean
 // load of the live engines, both by capacity.
 func (p *played) skew() []float64 {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -51,6 +51,7 @@
 	{"control", measureControl},
 	{"configuration", measureConfiguration},
 	{"leaving", measureLeaving},
+	{"slopes", measureSlopes},
 }
 
 // ScenarioNames returns the names of all scenarios.
@@ -146,6 +147,9 @@
 		if err := report.add(policy, "cache_reuse", value, Higher, nil); err != nil {
 			return err
 		}
+		if err := report.add(policy, "cache_reuse_most_gain_by_evictions", evictionGain(run.records), Lower, nil); err != nil {
+			return err
+		}
 		samples := run.skew()
 		if err := report.add(policy, "skew_p99", quantile(samples, skewQuantile), Lower, skewLimit); err != nil {
 			return err
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -43,6 +43,18 @@
 	must.Eq(t, 100.0/300.0, reuse(records))
 }
 
+func TestEvictionGainCountsWhatOtherEnginesHeld(t *testing.T) {
+	records := [][]engine.Record{
+		{{Chat: "a", StartMS: 1, PromptTokens: 100}},
+		{
+			{Chat: "a", StartMS: 2, PromptTokens: 200},
+			{Chat: "a", StartMS: 3, PromptTokens: 300},                    // found nothing: 100 were at the first engine
+			{Chat: "a", StartMS: 4, PromptTokens: 400, CachedTokens: 300}, // found all
+		},
+	}
+	must.Eq(t, 100.0/600.0, evictionGain(records))
+}
+
 func TestSkewPassesOverEnginesThatAreAway(t *testing.T) {
 	begun := time.UnixMilli(0)
 	running := engine.Record{StartMS: 0, EndMS: 1_000_000}
