--- a/internal/protocol/targetapi/targetapi.go
+++ b/internal/protocol/targetapi/targetapi.go
@@ -85,6 +85,17 @@
 	Cancel(ctx context.Context, address, requestID string)
 }
 
+// CacheRemoved is the kind of the event that says that a prefix was evicted.
+const CacheRemoved = "removed"
+
+// CacheEvent is a change of a model engine's prefix cache. Events come late, and
+// a jump of the sequence says that some are missing.
+type CacheEvent struct {
+	Sequence uint64 `json:"seq"`
+	Kind     string `json:"kind"`
+	Prefix   string `json:"prefix"` // hash of the prompt up to a message, in hex
+}
+
 // Load is a model engine's report of its load.
 type Load struct {
 	Running  int  `json:"running"`
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -69,6 +69,7 @@
 
 	mu      sync.Mutex
 	cache   *prefixCache
+	events  eventLog
 	records []*Record
 	streams map[string]*stream
 	running int
@@ -94,6 +95,7 @@
 	mux.HandleFunc("GET "+targetapi.PathStreams+"{id}", s.resume)
 	mux.HandleFunc("DELETE "+targetapi.PathStreams+"{id}", s.cancel)
 	mux.HandleFunc("GET "+targetapi.PathLoad, s.load)
+	mux.HandleFunc("GET "+targetapi.PathEvents, s.cacheEvents)
 	mux.HandleFunc("POST /standin/fault", s.setFault)
 	mux.HandleFunc("GET /standin/records", s.getRecords)
 	return mux
@@ -162,7 +164,8 @@
 	if s.running >= s.config.Capacity {
 		return nil, targetapi.RefusedBusy
 	}
-	total, cached, _ := s.cache.use(parsed.Messages)
+	total, cached, evicted := s.cache.use(parsed.Messages)
+	s.events.removed(evicted, time.Now())
 	record := &Record{
 		RequestID:    id,
 		Chat:         firstUserMessage(parsed.Messages),
