--- a/internal/coordination/control/candidates.go
+++ b/internal/coordination/control/candidates.go
@@ -14,6 +14,13 @@
 // that finds no context: the least loaded of them takes it.
 const choices = 3
 
+// A plan is made of the first ranked engines, so that its cost does not grow
+// with their load reports. Where too few of these are in use, all are ranked.
+const (
+	planned  = 12
+	minInUse = 6
+)
+
 // Plan is where the entry daemon tries a request.
 type Plan struct {
 	// First is the chat's first engine, whose home daemon knows where the chat
@@ -30,7 +37,10 @@
 // opening one, goes to the least loaded of the first ranked.
 func (s *State) Plan(service string, chat uint64, opening bool) Plan {
 	described := s.Snapshot.Document.Service(service)
-	order := s.ranked(service, chat)
+	order := s.ranked(service, chat, planned)
+	if s.inUse(order) < minInUse {
+		order = s.ranked(service, chat, len(s.Snapshot.Document.EnginesOf(service)))
+	}
 	if described == nil || len(order) == 0 {
 		return Plan{}
 	}
@@ -48,16 +58,43 @@
 	return plan
 }
 
-// ranked returns all engines of a service in the order of their rank for a chat.
-func (s *State) ranked(service string, chat uint64) []string {
-	var candidates []ranking.Candidate
-	for _, engine := range s.Snapshot.Document.EnginesOf(service) {
-		candidates = append(candidates, ranking.Candidate{
-			Name:   engine.Name,
-			Weight: float64(engine.Capacity),
-		})
+// ranked returns the first engines of a service, count at most, in the order of
+// their rank for a chat.
+func (s *State) ranked(service string, chat uint64, count int) []string {
+	return ranking.Top(chat, s.candidatesOf(service), count)
+}
+
+// candidates are the engines of a document's services, prepared for ranking.
+type candidates struct {
+	document  *environment.Document
+	byService map[string][]ranking.Candidate
+}
+
+// candidatesOf returns a service's engines for ranking. They are prepared once
+// for each document.
+func (s *State) candidatesOf(service string) []ranking.Candidate {
+	if s.candidates.document != s.Snapshot.Document {
+		s.candidates = candidates{s.Snapshot.Document, make(map[string][]ranking.Candidate)}
+	}
+	prepared, known := s.candidates.byService[service]
+	if !known {
+		for _, engine := range s.Snapshot.Document.EnginesOf(service) {
+			prepared = append(prepared, ranking.Candidate{Name: engine.Name, Weight: float64(engine.Capacity)})
+		}
+		s.candidates.byService[service] = prepared
+	}
+	return prepared
+}
+
+// inUse counts the engines that take new work.
+func (s *State) inUse(engines []string) int {
+	count := 0
+	for _, engine := range engines {
+		if s.Health.Takes(engine) {
+			count++
+		}
 	}
-	return ranking.Order(chat, candidates)
+	return count
 }
 
 // leastLoadedFirst moves the least loaded of the first choices to the front and
--- a/internal/coordination/control/candidates_test.go
+++ b/internal/coordination/control/candidates_test.go
@@ -34,7 +34,7 @@
 
 func TestPlan(t *testing.T) {
 	const chat = 42
-	order := planState(t).ranked("writer", chat)
+	order := planState(t).ranked("writer", chat, 4)
 	a, b, c, d := order[0], order[1], order[2], order[3]
 	for _, test := range []struct {
 		name    string
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -38,6 +38,7 @@
 
 	watches    map[string]chan struct{}            // by member, closed when it goes down
 	placements map[string][]*peerpb.DirectoryEntry // for peers, by address
+	candidates candidates                          // of the document in force
 }
 
 // Loop runs the control goroutine.
--- a/internal/coordination/ranking/ranking.go
+++ b/internal/coordination/ranking/ranking.go
@@ -4,6 +4,7 @@
 package ranking
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -29,30 +30,42 @@
 
 // Order returns the candidates' names, best first, for a key.
 func Order(key uint64, candidates []Candidate) []string {
-	type scored struct {
-		name  string
-		score float64
-	}
-	scores := make([]scored, len(candidates))
-	for i, candidate := range candidates {
-		scores[i] = scored{candidate.Name, score(key, candidate)}
-	}
-	slices.SortFunc(scores, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
+	return Top(key, candidates, len(candidates))
+}
+
+// Top returns the names of the best candidates for a key, best first, and count
+// of them at most.
+func Top(key uint64, candidates []Candidate, count int) []string {
+	best := make([]scored, 0, min(count, len(candidates))+1)
+	for _, candidate := range candidates {
+		next := scored{candidate.Name, score(key, candidate)}
+		if len(best) == count && (count == 0 || compare(best[count-1], next) < 0) {
+			continue
 		}
-		return strings.Compare(a.name, b.name)
-	})
-	names := make([]string, len(scores))
-	for i := range scores {
-		names[i] = scores[i].name
+		position, _ := slices.BinarySearchFunc(best, next, compare)
+		best = slices.Insert(best, position, next)
+		best = best[:min(count, len(best))]
+	}
+	names := make([]string, len(best))
+	for i := range best {
+		names[i] = best[i].name
 	}
 	return names
 }
 
+type scored struct {
+	name  string
+	score float64
+}
+
+// compare puts the higher score first, and equal scores in the names' order.
+func compare(a, b scored) int {
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return strings.Compare(a.name, b.name)
+}
+
 // score is -weight/ln(u) with u uniform in (0,1): a candidate wins a share of
 // the keys in proportion to its weight.
 func score(key uint64, candidate Candidate) float64 {
