Try a recommended engine that was no candidate

Cause: a home's recommendation was taken only if the entry had the engine among its candidates. A plan holds the first 12 ranked engines, so a chat that is warm at another one would have gone to a cold engine in its place. Naive way: TestRecommendedEngineComesNext expected e9, got e2.

--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -189,14 +189,23 @@
 	return false
 }
 
-// prefer moves the engine that a home has recommended to the front, if it has
-// not been tried.
+// prefer puts the engine that a home has recommended first, if it has not been
+// tried. It need not be one of the candidates so far.
 func (r *Route) prefer(engine string) {
-	position := slices.Index(r.candidates, engine)
-	if position > 0 {
+	if engine == "" || r.tried(engine) {
+		return
+	}
+	if position := slices.Index(r.candidates, engine); position >= 0 {
 		r.candidates = slices.Delete(r.candidates, position, position+1)
-		r.candidates = slices.Insert(r.candidates, 0, engine)
 	}
+	r.candidates = slices.Insert(r.candidates, 0, engine)
+}
+
+// tried reports whether an engine has had the request, the current one included.
+func (r *Route) tried(engine string) bool {
+	return engine == r.current || slices.ContainsFunc(r.trace, func(t Trace) bool {
+		return t.Engine == engine && t.Reason != refusal.ChatElsewhere
+	})
 }
 
 // HomeFailed notes that the connection to the home was lost, or could not be
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -32,3 +32,26 @@
 	_, refused := r.Next()
 	must.Eq(t, refusal.EngineBusy, refused.Reason)
 }
+
+func TestRecommendedEngineComesNext(t *testing.T) {
+	for _, test := range []struct{ name, better, next string }{
+		{"a candidate", "e3", "e3"},
+		{"not yet a candidate", "e9", "e9"},
+		{"none", "", "e2"},
+		{"the one that refused", "e1", "e2"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := New(Request{Repeatable: true}, []string{"e1", "e2", "e3"})
+			_, _ = r.Next()
+			busy := refusal.NotRun(refusal.EngineBusy, time.Second, "")
+			busy.Better = test.better
+			r.Refused("d1", busy)
+			try, refused := r.Next()
+			must.Nil(t, refused)
+			must.Eq(t, test.next, try.Engine)
+			r.Refused("d1", busy)
+			try, _ = r.Next()
+			must.NotEq(t, test.next, try.Engine)
+		})
+	}
+}
