--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -47,7 +47,9 @@
 	Versions  *spread.Tracker
 	Snapshot  *Snapshot // nil until a document is in force
 
-	watches map[string]chan struct{} // by member, closed when it goes down
+	watches    map[string]chan struct{}            // by member, closed when it goes down
+	placements map[string][]*peerpb.DirectoryEntry // for peers, by address
+	candidates candidates                          // of the document in force
 }
 
 // Loop runs the control goroutine.
@@ -65,12 +67,13 @@
 		operations: make(chan func(), queueLength),
 		stopped:    make(chan struct{}),
 		state: &State{
-			Members:   member.New(self),
-			Health:    engines,
-			Admission: admission.New(engines.Takes),
-			Directory: directory.New(),
-			Versions:  new(spread.Tracker),
-			watches:   make(map[string]chan struct{}),
+			Members:    member.New(self),
+			Health:     engines,
+			Admission:  admission.New(engines.Takes),
+			Directory:  directory.New(),
+			Versions:   new(spread.Tracker),
+			watches:    make(map[string]chan struct{}),
+			placements: make(map[string][]*peerpb.DirectoryEntry),
 		},
 	}
 }
--- a/internal/coordination/control/explain.go
+++ b/internal/coordination/control/explain.go
@@ -32,7 +32,7 @@
 	}
 	warm, _ := s.Directory.Lookup(chat, now)
 	listed := make(map[string]bool)
-	for _, name := range s.Candidates(service, chat, now) {
+	for _, name := range s.Plan(service, chat, false).Engines {
 		candidate := s.describe(s.Snapshot.Document.Engine(name), now)
 		candidate.Warm = name == warm
 		candidates = append(candidates, candidate)
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -35,6 +35,8 @@
 	ExcludedHomes []string
 	Resume        *peerpb.Resume
 	LastResort    bool // no other candidate is left after this one
+	Located       bool // the chat's directory has been asked
+	Warm          bool // the directory has named this engine
 }
 
 // Trace is what became of one try, for operators.
@@ -52,9 +54,10 @@
 	current    string
 	engines    int // tried so far
 	homes      []string
-	sameEngine bool // the next try goes to the current engine's next home
-	mayRun     bool // the current try may have been dispatched
-	started    bool // the engine has started the current try
+	sameEngine bool   // the next try goes to the current engine's next home
+	warm       string // the engine that the chat's directory has named
+	mayRun     bool   // the current try may have been dispatched
+	started    bool   // the engine has started the current try
 	offset     uint64
 	final      *refusal.Refusal
 	last       *refusal.Refusal
@@ -107,6 +110,8 @@
 		Engine:        r.current,
 		ExcludedHomes: slices.Clone(r.homes),
 		LastResort:    len(r.candidates) == 0 || r.engines >= MaxEngines,
+		Located:       r.warm != "",
+		Warm:          r.warm == r.current,
 	}
 	if r.started {
 		try.Resume = &peerpb.Resume{Engine: r.current, Offset: r.offset}
@@ -153,6 +158,10 @@
 		r.nextHome(home, refused)
 		return
 	}
+	if refused.Reason == refusal.ChatElsewhere {
+		r.redirect(home, refused)
+		return
+	}
 	if !spills(refused.Reason) {
 		r.fail(home, refused)
 		return
@@ -179,6 +188,17 @@
 	return reason == refusal.Stopping || reason == refusal.NotReady
 }
 
+// redirect goes to the engine that holds the chat's context. The engine whose
+// home knew of it has refused nothing, so it stays a candidate; it comes last,
+// as the others are ordered by their load.
+func (r *Route) redirect(home string, refused *refusal.Refusal) {
+	r.trace = append(r.trace, Trace{Engine: r.current, Home: home, Reason: refused.Reason, Detail: refused.Detail})
+	r.candidates = append(r.candidates, r.current)
+	r.prefer(refused.Better)
+	r.engines--
+	r.warm = refused.Better
+}
+
 // spills reports whether another engine may take a request refused so.
 func spills(reason refusal.Reason) bool {
 	switch reason {
@@ -190,14 +210,23 @@
 	return false
 }
 
-// prefer moves the engine that a home has recommended to the front, if it has
-// not been tried.
+// prefer puts the engine that a home has recommended first, if it has not been
+// tried. It need not be one of the candidates so far.
 func (r *Route) prefer(engine string) {
-	position := slices.Index(r.candidates, engine)
-	if position > 0 {
+	if engine == "" || r.tried(engine) {
+		return
+	}
+	if position := slices.Index(r.candidates, engine); position >= 0 {
 		r.candidates = slices.Delete(r.candidates, position, position+1)
-		r.candidates = slices.Insert(r.candidates, 0, engine)
 	}
+	r.candidates = slices.Insert(r.candidates, 0, engine)
+}
+
+// tried reports whether an engine has had the request, the current one included.
+func (r *Route) tried(engine string) bool {
+	return engine == r.current || slices.ContainsFunc(r.trace, func(t Trace) bool {
+		return t.Engine == engine && t.Reason != refusal.ChatElsewhere
+	})
 }
 
 // HomeFailed notes that the connection to the home was lost, or could not be
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -30,12 +30,18 @@
 func (d *Daemon) runSync(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
+	rounds := 0
+	var strays strayMover
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			d.round(ctx)
+			if rounds++; rounds%placementRounds == 0 {
+				d.sendPlacements(ctx)
+				strays.round(ctx, d)
+			}
 		}
 	}
 }
--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -35,6 +35,7 @@
 	EngineUnknown     Reason = "engine_unknown"
 	EngineFailed      Reason = "engine_failed"
 	EngineStalled     Reason = "engine_stalled"
+	ChatElsewhere     Reason = "chat_elsewhere" // between daemons only
 	NoEngine          Reason = "no_engine"
 	WorkspaceLimit    Reason = "workspace_limit"
 	DeadlineUnmet     Reason = "deadline_unmet"
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,6 +41,8 @@
 	WrongIDs int `json:"wrong_ids"`
 	// Frozen stops all tokens.
 	Frozen bool `json:"frozen"`
+	// ClearCache empties the prefix cache at once, as a restart does.
+	ClearCache bool `json:"clear_cache"`
 }
 
 // Record is one request that the engine has started.
@@ -69,6 +71,7 @@
 
 	mu      sync.Mutex
 	cache   *prefixCache
+	events  eventLog
 	records []*Record
 	streams map[string]*stream
 	running int
@@ -94,6 +97,7 @@
 	mux.HandleFunc("GET "+targetapi.PathStreams+"{id}", s.resume)
 	mux.HandleFunc("DELETE "+targetapi.PathStreams+"{id}", s.cancel)
 	mux.HandleFunc("GET "+targetapi.PathLoad, s.load)
+	mux.HandleFunc("GET "+targetapi.PathEvents, s.cacheEvents)
 	mux.HandleFunc("POST /standin/fault", s.setFault)
 	mux.HandleFunc("GET /standin/records", s.getRecords)
 	return mux
@@ -108,6 +112,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
+	if fault.ClearCache {
+		s.cache = newPrefixCache(s.config.CacheTokens)
+	}
 }
 
 func (s *Server) getRecords(w http.ResponseWriter, _ *http.Request) {
@@ -159,7 +166,8 @@
 	if s.running >= s.config.Capacity {
 		return nil, targetapi.RefusedBusy
 	}
-	total, cached, _ := s.cache.use(parsed.Messages)
+	total, cached, evicted := s.cache.use(parsed.Messages)
+	s.events.removed(evicted, time.Now())
 	record := &Record{
 		RequestID:    id,
 		Chat:         firstUserMessage(parsed.Messages),
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -38,7 +38,7 @@
 	call.Repeatable = true
 	call.Stream = parsed.Stream
 	call.ChatKey = chatKey(exchange, service, parsed)
-	return s.serve(exchange, entry.Request{Call: call, Resumable: parsed.Stream, Deadline: deadline(exchange, class)})
+	return s.serve(exchange, entry.Request{Call: call, Resumable: parsed.Stream, Opening: parsed.Opens(), Deadline: deadline(exchange, class)})
 }
 
 // chatKey names the chat: by the caller's header, or else by its opening.
