Admit by a bound with headroom, a fair bounded queue and known leftovers

Cause: admission checked the bound only at the moment of a request, so the falling mean left engines above it; it forgot a dead daemon's requests at once although engines still ran them, took late gossip of a dead daemon for news, refused to resume a stream at a busy or draining engine, had no queue and no workspace limits, and scanned all peers' counts for each request. Each try of a request started its deadline anew.

A home that is killed: streams that went on through the next home were counted with both until the dead one was known to be down. The mean rose, and engines were above the bound for 0.4 to 1.6 s.

Release by ticket covers both orders.

A full queue first refused what would be served last. Now the workspace that runs and queues most for its share gives way.

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -37,6 +37,7 @@
 	Snapshot  *Snapshot // nil until a document is in force
 
 	watches map[string]chan struct{} // by member, closed when it goes down
+	waiters map[admission.Ticket]chan<- admission.Decision
 }
 
 // Loop runs the control goroutine.
@@ -59,6 +60,7 @@
 			Admission: admission.New(engines.Takes),
 			Directory: directory.New(),
 			watches:   make(map[string]chan struct{}),
+			waiters:   make(map[admission.Ticket]chan<- admission.Decision),
 		},
 	}
 }
@@ -127,8 +129,8 @@
 	return watch
 }
 
-// Tick notices the members that have gone down. The driver calls it a few times
-// a second.
+// Tick notices the members that have gone down and lets queued requests go on.
+// The driver calls it every admission.TickInterval.
 func (s *State) Tick(now time.Time) {
 	s.Members.Beat()
 	s.Members.Expire(now)
@@ -140,7 +142,8 @@
 	}
 	for name := range s.Admission.PeerLoads() {
 		if !s.Members.Alive(name, now) {
-			s.Admission.DropPeer(name)
+			s.Admission.PeerDown(name, now)
 		}
 	}
+	s.deliver(s.Admission.Tick(now))
 }
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -15,7 +15,8 @@
 	home string
 	call *peerpb.Call
 	sink Sink
-	gone error // why the caller is gone, if it is
+	load *peerpb.DaemonLoad // the home's counts, if it was busy
+	gone error              // why the caller is gone, if it is
 }
 
 // run makes the try and reports whether the answer is complete. The exchange
@@ -87,6 +88,7 @@
 	}
 	switch body := message.GetBody().(type) {
 	case *peerpb.ForwardDown_Refusal:
+		a.load = body.Refusal.GetLoad()
 		a.path.Refused(a.home, refusal.FromMessage(body.Refusal))
 		return true, nil
 	case *peerpb.ForwardDown_AskStart:
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -59,7 +59,7 @@
 
 // Request is one caller's request.
 type Request struct {
-	Call      *peerpb.Call // Engine, Resume and LastResort are filled in here
+	Call      *peerpb.Call // Engine, Resume, Loads and LastResort are filled in here
 	Resumable bool
 }
 
@@ -70,6 +70,8 @@
 		Repeatable: request.Call.GetRepeatable(),
 		Resumable:  request.Resumable,
 	}, r.candidates(request.Call))
+	deadline := time.Now().Add(time.Duration(request.Call.GetDeadlineMs()) * time.Millisecond)
+	var loads []*peerpb.DaemonLoad // of the homes that were busy
 	for {
 		try, refused := path.Next()
 		if refused != nil {
@@ -78,10 +80,14 @@
 		if err := ctx.Err(); err != nil {
 			return path.Trace(), callerGone(path, err)
 		}
-		served := r.try(ctx, path, try, request, sink)
+		request.Call.DeadlineMs = uint32(max(0, time.Until(deadline).Milliseconds()))
+		served, load := r.try(ctx, path, try, request, loads, sink)
 		if served {
 			return path.Trace(), nil
 		}
+		if load != nil {
+			loads = append(loads, load)
+		}
 		r.countRetry(path)
 	}
 }
@@ -107,16 +113,19 @@
 	return candidates
 }
 
-// try makes one try and reports whether the answer is complete.
-func (r *Router) try(ctx context.Context, path *route.Route, try route.Try, request Request, sink Sink) bool {
+// try makes one try and reports whether the answer is complete. It returns the
+// home's counts as well, if the home was busy.
+func (r *Router) try(ctx context.Context, path *route.Route, try route.Try, request Request, loads []*peerpb.DaemonLoad, sink Sink) (served bool, load *peerpb.DaemonLoad) {
 	home, down := r.home(try)
 	if home == nil {
 		path.NoHome()
-		return false
+		return false, nil
 	}
 	call := tryCall(request.Call, try)
+	call.Loads = loads
 	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink}
-	return attempt.run(ctx, r.opener, home, down)
+	served = attempt.run(ctx, r.opener, home, down)
+	return served, attempt.load
 }
 
 // home returns the home daemon for a try, and a channel that is closed when it
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -98,17 +98,35 @@
 	if engine == nil {
 		return refuse(link, refusal.NotRun(refusal.EngineUnknown, 0, "engine %s is not in the document", call.GetEngine()))
 	}
-	request := admissionRequest(call)
-	if refused := s.loop.Admit(link.Context(), request); refused != nil {
-		return refuse(link, refused)
+	ticket, refused := s.admit(link.Context(), call)
+	if refused != nil {
+		return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Refusal{Refusal: refused}})
 	}
-	defer s.loop.Release(request)
+	defer s.loop.Release(ticket)
 	if refused := askStart(link, call); refused != nil {
 		return refuse(link, refused)
 	}
 	return s.dispatch(link, call, snapshot.Document.AddressFor(engine, s.failureDomain), snapshot.Generation)
 }
 
+// admit asks for admission, with the counts that the call brings along. A busy
+// home answers with its own counts, so that the next home of the request knows
+// the service's load, however fast it has risen.
+func (s *Server) admit(ctx context.Context, call *peerpb.Call) (admission.Ticket, *peerpb.Refusal) {
+	if len(call.GetLoads()) > 0 {
+		s.loop.Do(func(state *control.State, now time.Time) { state.MergeLoads(call.GetLoads(), now) })
+	}
+	ticket, refused := s.loop.Admit(ctx, admissionRequest(call))
+	if refused == nil {
+		return ticket, nil
+	}
+	message := refused.Message()
+	if refused.Reason == refusal.EngineBusy {
+		s.loop.Do(func(state *control.State, _ time.Time) { message.Load = state.OwnLoad() })
+	}
+	return 0, message
+}
+
 func admissionRequest(call *peerpb.Call) admission.Request {
 	wait := time.Duration(call.GetDeadlineMs()) * time.Millisecond
 	return admission.Request{
@@ -119,6 +137,7 @@
 		Priority:   call.GetPriority(),
 		Deadline:   time.Now().Add(wait),
 		LastResort: call.GetLastResort(),
+		Resumed:    call.GetResume() != nil,
 	}
 }
 
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -15,6 +15,9 @@
 const (
 	MaxEngines = 4 // engines tried for one request
 	MaxHomes   = 4 // home daemons lost or unreachable for one request
+	// MaxReturns is how often a request goes on to an engine that a home has just
+	// found to have room, although it has been tried or MaxEngines have been.
+	MaxReturns = 3
 )
 
 // retryAfterNoEngine is when a caller may come back to a service that has no
@@ -34,7 +37,7 @@
 	Engine        string
 	ExcludedHomes []string
 	Resume        *peerpb.Resume
-	LastResort    bool // no other candidate is left after this one
+	LastResort    bool // no other try is left after this one
 }
 
 // Trace is what became of one try, for operators.
@@ -51,6 +54,7 @@
 	candidates []string // still to be tried, best first
 	current    string
 	engines    int // tried so far
+	returns    int // further tries that homes have given reason for
 	homes      []string
 	sameEngine bool // the next try goes to the current engine's next home
 	mayRun     bool // the current try may have been dispatched
@@ -81,7 +85,7 @@
 		r.sameEngine = false
 		return r.try(), nil
 	}
-	if len(r.candidates) == 0 || r.engines >= MaxEngines {
+	if len(r.candidates) == 0 || r.engines >= r.maxEngines() {
 		return Try{}, r.exhausted()
 	}
 	r.current = r.candidates[0]
@@ -96,7 +100,7 @@
 	try := Try{
 		Engine:        r.current,
 		ExcludedHomes: slices.Clone(r.homes),
-		LastResort:    len(r.candidates) == 0 || r.engines >= MaxEngines,
+		LastResort:    r.returns >= MaxReturns && (len(r.candidates) == 0 || r.engines >= r.maxEngines()),
 	}
 	if r.started {
 		try.Resume = &peerpb.Resume{Engine: r.current, Offset: r.offset}
@@ -104,6 +108,8 @@
 	return try
 }
 
+func (r *Route) maxEngines() int { return MaxEngines + r.returns }
+
 // exhausted returns the refusal when no candidate is left.
 func (r *Route) exhausted() *refusal.Refusal {
 	if r.last != nil {
@@ -163,20 +169,30 @@
 	switch reason {
 	case refusal.EngineBusy, refusal.EngineLeaving, refusal.EngineUnknown,
 		refusal.EngineFailed, refusal.AnswerIncomplete, refusal.AnswerMismatch,
-		refusal.NotReady, refusal.Stopping, refusal.HomeUnreachable:
+		refusal.NotReady, refusal.Stopping, refusal.HomeUnreachable,
+		refusal.WorkspaceLimit:
 		return true
 	}
 	return false
 }
 
-// prefer moves the engine that a home has recommended to the front, if it has
-// not been tried.
+// prefer moves the engine that a home has recommended to the front. One that has
+// been tried may have room by now: a few returns are allowed.
 func (r *Route) prefer(engine string) {
+	if engine == "" || engine == r.current {
+		return
+	}
 	position := slices.Index(r.candidates, engine)
-	if position > 0 {
+	if position < 0 || r.engines >= r.maxEngines() {
+		if r.returns >= MaxReturns {
+			return
+		}
+		r.returns++
+	}
+	if position >= 0 {
 		r.candidates = slices.Delete(r.candidates, position, position+1)
-		r.candidates = slices.Insert(r.candidates, 0, engine)
 	}
+	r.candidates = slices.Insert(r.candidates, 0, engine)
 }
 
 // HomeFailed notes that the connection to the home was lost, or could not be
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -71,7 +71,7 @@
 		message.Sender = self.GetName()
 		message.Members = state.Members.Live(now)
 		message.Findings = state.Health.Findings()
-		message.Loads = append(message.Loads, state.Admission.OwnLoad(self.GetName(), self.GetIncarnation()))
+		message.Loads = append(message.Loads, state.OwnLoad())
 		for _, load := range state.Admission.PeerLoads() {
 			message.Loads = append(message.Loads, load)
 		}
@@ -86,7 +86,7 @@
 	d.loop.Do(func(state *control.State, now time.Time) {
 		state.Members.Merge(message.GetMembers(), now)
 		state.Health.Merge(message.GetFindings())
-		state.Admission.MergeLoads(state.Members.Self().GetName(), message.GetLoads())
+		state.MergeLoads(message.GetLoads(), now)
 	})
 }
 
