Leave a dead home's leftovers out of the mean

What a daemon tells of requests that it has taken over was cut down to what still ran there, so that other daemons kept the rest as leftovers for 15 s; and requests that had ended between the dead home's last news and its death stayed in the mean as long. A mean that is too high lets engines above their bound.

Now all requests taken over in the last 5 s are told, also when none runs any more, and leftovers count against their own engine only. TestTakenOverRequests- CountOnce ends some of them before the news.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -91,7 +91,7 @@
 	peers      map[string]*peer
 	entries    map[Ticket]*entry
 	waiting    map[*engine]bool // engines with queued requests
-	busy       map[*engine]bool // engines with own requests
+	busy       map[*engine]bool // engines with own counts to tell peers
 	lastTicket Ticket
 	sequence   uint64 // rises with each change of the own counts
 }
@@ -197,9 +197,7 @@
 	target := ended.engine
 	workspace := ended.request.Workspace
 	target.own--
-	if target.own == 0 {
-		delete(c.busy, target)
-	}
+	c.dropIdle(target)
 	target.workspaces[workspace]--
 	if target.workspaces[workspace] == 0 {
 		delete(target.workspaces, workspace)
@@ -212,6 +210,13 @@
 	}
 }
 
+// dropIdle takes an engine out of what peers are told, once there is nothing.
+func (c *Controller) dropIdle(target *engine) {
+	if target.own == 0 && target.taken.recent == 0 {
+		delete(c.busy, target)
+	}
+}
+
 // takeOver counts a request that the engine runs already. It is never refused:
 // that would cut the answer off and free nothing.
 func (c *Controller) takeOver(target *engine, request Request, now time.Time) Decision {
@@ -236,7 +241,7 @@
 		load.Counts = append(load.Counts, &peerpb.EngineCount{
 			Engine:    target.name,
 			InFlight:  uint32(target.own),
-			TakenOver: uint32(min(target.taken.recent, target.own)),
+			TakenOver: uint32(target.taken.recent),
 		})
 	}
 	slices.SortFunc(load.Counts, func(a, b *peerpb.EngineCount) int { return compareNames(a.GetEngine(), b.GetEngine()) })
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -182,11 +182,12 @@
 }
 
 func TestTakenOverRequestsCountOnce(t *testing.T) {
-	const carried = 8
+	const carried, ended = 8, 3
 	takeOver := func(b *bench) {
 		for range carried {
 			b.admit(Request{Engine: "e1", Resumed: true})
 		}
+		must.Eq(t, carried, b.control.InFlight("e1"))
 	}
 	down := func(b *bench) { b.control.PeerDown("d2", b.now) }
 	for _, test := range []struct {
@@ -204,15 +205,18 @@
 			for _, step := range test.steps {
 				step(home)
 			}
-			must.Eq(t, carried, home.control.InFlight("e1"))
+			for ticket := range Ticket(ended) {
+				home.release(ticket + 1)
+			}
+			must.Eq(t, carried-ended, home.control.InFlight("e1"))
 			load := home.control.OwnLoad("d1", 1)
 			other.control.MergeLoads("self", []*peerpb.DaemonLoad{load}, other.now)
-			must.Eq(t, carried, other.control.InFlight("e1"))
+			must.Eq(t, carried-ended, other.control.InFlight("e1"))
 			down(other)
-			must.Eq(t, carried, other.control.InFlight("e1"))
+			must.Eq(t, carried-ended, other.control.InFlight("e1"))
 			home.pass(takenLife + 1)
 			must.Greater(t, load.GetSequence(), home.control.OwnLoad("d1", 1).GetSequence())
-			must.Eq(t, carried, home.control.InFlight("e1"))
+			must.Eq(t, carried-ended, home.control.InFlight("e1"))
 		})
 	}
 }
--- a/internal/coordination/admission/bound.go
+++ b/internal/coordination/admission/bound.go
@@ -50,8 +50,7 @@
 	if !e.taking || e.removed {
 		return 0
 	}
-	load := e.service.load - e.countedLoad + max(e.countedLoad, e.counted()+1)
-	fair := float64(load) * e.weight() / e.service.weight
+	fair := float64(e.service.load+1) * e.weight() / e.service.weight
 	target := 1 + (e.service.bound-1)*(1-Headroom)
 	if lastResort {
 		target = e.service.bound
--- a/internal/coordination/admission/engine.go
+++ b/internal/coordination/admission/engine.go
@@ -127,18 +127,21 @@
 	target.decay(now)
 	if target.taken.expire(now) {
 		c.sequence++
+		c.dropIdle(target)
 	}
 	target.report.sample(target.counted(), now)
 	target.update()
 }
 
-// update brings the service's sums up to date with the engine's counts.
+// update brings the service's sums up to date with the engine's counts. Leftovers
+// are no part of them: some have ended, and a mean that is too high would let
+// engines above their bound.
 func (e *engine) update() {
 	if !e.taking || e.removed {
 		e.count(0, 0)
 		return
 	}
-	e.count(e.meanLoad(), e.weight())
+	e.count(e.counted(), e.weight())
 }
 
 // count sets the engine's part of the service's sums.
@@ -155,22 +158,11 @@
 // another daemon serves may count its leftovers there already.
 func (e *engine) seen() int {
 	if e.own == 0 && e.peers > 0 {
-		return e.meanLoad()
+		return e.counted()
 	}
 	return e.carried()
 }
 
-// meanLoad is the engine's part of the service's load. The requests that were
-// left over may by now be counted by their next home, so only the larger of the
-// two counts.
-func (e *engine) meanLoad() int {
-	load := e.counted()
-	for _, each := range e.leftovers {
-		load = max(load, each.base+each.remaining)
-	}
-	return load
-}
-
 // durationWeight is the weight of the past in the mean time of a request.
 const durationWeight = 8
 
--- a/internal/coordination/admission/peers.go
+++ b/internal/coordination/admission/peers.go
@@ -31,7 +31,6 @@
 	count     int // at first, less those that came back to this daemon
 	remaining int // after fading
 	since     time.Time
-	base      int // the engine's other load when the daemon went down
 }
 
 // MergeLoads takes in what peers say about their in-flight counts.
@@ -144,7 +143,7 @@
 func (e *engine) leave(daemon string, count int, now time.Time) {
 	left := max(0, count-e.taken.useEarly(count)-e.takenByPeers())
 	e.leftovers = append(e.leftovers, &leftover{
-		daemon: daemon, count: left, remaining: left, since: now, base: e.counted(),
+		daemon: daemon, count: left, remaining: left, since: now,
 	})
 	e.decay(now)
 	e.update()
--- a/internal/coordination/admission/property_test.go
+++ b/internal/coordination/admission/property_test.go
@@ -166,7 +166,7 @@
 	known := w.control.services["writer"]
 	for _, target := range known.engines {
 		if target.taking {
-			load += target.meanLoad()
+			load += target.counted()
 			weight += target.weight()
 		}
 	}
