--- a/internal/coordination/control/candidates_test.go
+++ b/internal/coordination/control/candidates_test.go
@@ -60,7 +60,7 @@
 			for _, engine := range test.loaded {
 				load.Counts = append(load.Counts, &peerpb.EngineCount{Engine: engine, InFlight: 4})
 			}
-			state.Admission.MergeLoads("d1", []*peerpb.DaemonLoad{load})
+			state.Admission.MergeLoads("d1", []*peerpb.DaemonLoad{load}, time.Now())
 			must.Eq(t, Plan{First: a, Engines: test.want}, state.Plan("writer", chat, test.opening))
 		})
 	}
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -50,6 +50,7 @@
 	watches    map[string]chan struct{}            // by member, closed when it goes down
 	placements map[string][]*peerpb.DirectoryEntry // for peers, by address
 	candidates candidates                          // of the document in force
+	waiters    map[admission.Ticket]chan<- admission.Decision
 }
 
 // Loop runs the control goroutine.
@@ -74,6 +75,7 @@
 			Versions:   new(spread.Tracker),
 			watches:    make(map[string]chan struct{}),
 			placements: make(map[string][]*peerpb.DirectoryEntry),
+			waiters:    make(map[admission.Ticket]chan<- admission.Decision),
 		},
 	}
 }
@@ -148,8 +150,8 @@
 	return watch
 }
 
-// Tick notices the members that have gone down. The driver calls it a few times
-// a second.
+// Tick notices the members that have gone down and lets queued requests go on.
+// The driver calls it every admission.TickInterval.
 func (s *State) Tick(now time.Time) {
 	s.Members.Beat(now)
 	s.Members.Expire(now)
@@ -162,7 +164,8 @@
 	}
 	for name := range s.Admission.PeerLoads() {
 		if !s.Members.Alive(name, now) {
-			s.Admission.DropPeer(name)
+			s.Admission.PeerDown(name, now)
 		}
 	}
+	s.deliver(s.Admission.Tick(now))
 }
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -15,6 +15,7 @@
 	home    string
 	call    *peerpb.Call
 	sink    Sink
+	load    *peerpb.DaemonLoad  // the home's counts, if it was busy
 	gone    error               // why the caller is gone, if it is
 	started func(engine string) // told where the answer has started
 }
@@ -88,6 +89,7 @@
 	}
 	switch body := message.GetBody().(type) {
 	case *peerpb.ForwardDown_Refusal:
+		a.load = body.Refusal.GetLoad()
 		a.path.Refused(a.home, refusal.FromMessage(body.Refusal))
 		return true, nil
 	case *peerpb.ForwardDown_AskStart:
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -59,7 +59,7 @@
 
 // Request is one caller's request.
 type Request struct {
-	Call      *peerpb.Call // Engine, Resume and LastResort are filled in here
+	Call      *peerpb.Call // Engine, Resume, Loads and LastResort are filled in here
 	Resumable bool
 	// Deadline is until when the request must have started.
 	Deadline time.Time
@@ -75,6 +75,7 @@
 		Repeatable: request.Call.GetRepeatable(),
 		Resumable:  request.Resumable,
 	}, plan.Engines)
+	var loads []*peerpb.DaemonLoad // of the homes that were busy
 	for {
 		try, refused := path.Next()
 		if refused != nil {
@@ -86,10 +87,13 @@
 		if path.Fresh() && !time.Now().Before(request.Deadline) {
 			return path.Trace(), path.Expired()
 		}
-		served := r.try(ctx, path, try, request, sink)
+		served, load := r.try(ctx, path, try, request, loads, sink)
 		if served {
 			return path.Trace(), nil
 		}
+		if load != nil {
+			loads = append(loads, load)
+		}
 		r.countRetry(path)
 	}
 }
@@ -126,20 +130,23 @@
 	})
 }
 
-// try makes one try and reports whether the answer is complete.
-func (r *Router) try(ctx context.Context, path *route.Route, try route.Try, request Request, sink Sink) bool {
+// try makes one try and reports whether the answer is complete. It returns the
+// home's counts as well, if the home was busy.
+func (r *Router) try(ctx context.Context, path *route.Route, try route.Try, request Request, loads []*peerpb.DaemonLoad, sink Sink) (served bool, load *peerpb.DaemonLoad) {
 	home, down := r.home(try)
 	if home == nil {
 		path.NoHome()
-		return false
+		return false, nil
 	}
 	call := tryCall(request.Call, try, time.Until(request.Deadline))
+	call.Loads = loads
 	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, started: func(engine string) {
 		if !try.Warm {
 			r.placed(call, engine)
 		}
 	}}
-	return attempt.run(ctx, r.opener, home, down)
+	served = attempt.run(ctx, r.opener, home, down)
+	return served, attempt.load
 }
 
 // home returns the home daemon for a try, and a channel that is closed when it
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -20,7 +20,7 @@
 	resume  bool
 }
 
-func busy(r *Route) {
+func refuseBusy(r *Route) {
 	r.Refused("home", refusal.NotRun(refusal.EngineBusy, 1, "busy"))
 }
 
@@ -56,8 +56,8 @@
 		steps   []step
 		outcome string // of the final refusal; empty: none yet
 	}{
-		{"a busy engine spills", chat, []step{{busy, "b", false}}, ""},
-		{"all engines busy", chat, []step{{busy, "b", false}, {busy, "c", false}, {busy, "", false}}, "not_run"},
+		{"a busy engine spills", chat, []step{{refuseBusy, "b", false}}, ""},
+		{"all engines busy", chat, []step{{refuseBusy, "b", false}, {refuseBusy, "c", false}, {refuseBusy, "", false}}, "not_run"},
 		{"an unreachable home keeps the engine", booking, []step{{lostBefore, "a", false}}, ""},
 		{"a stopping home keeps the engine", booking, []step{{stopping, "a", false}}, ""},
 		{"a booking lost after its start ends", booking, []step{{lostAfterSending, "", false}}, "unknown"},
@@ -65,10 +65,10 @@
 		{"a failed booking ends", booking, []step{{failed, "", false}}, "unknown"},
 		{"a failed lookup goes elsewhere", lookup, []step{{failed, "b", false}}, ""},
 		{"not run after a run that may have been is unknown", lookup,
-			[]step{{failed, "b", false}, {busy, "c", false}, {busy, "", false}}, "unknown"},
+			[]step{{failed, "b", false}, {refuseBusy, "c", false}, {refuseBusy, "", false}}, "unknown"},
 		{"a stream resumes", chat, []step{{lostInMidStream, "a", true}}, ""},
 		{"a chat lost after sending may have started", chat, []step{{lostAfterSending, "a", true}}, ""},
-		{"a stream that its engine lost ends", chat, []step{{lostInMidStream, "a", true}, {busy, "", false}}, "unknown"},
+		{"a stream that its engine lost ends", chat, []step{{lostInMidStream, "a", true}, {refuseBusy, "", false}}, "unknown"},
 		{"homes are lost too often", chat,
 			[]step{{lostBefore, "a", false}, {lostBefore, "a", false}, {lostBefore, "a", false}, {lostBefore, "", false}}, "not_run"},
 	} {
@@ -119,7 +119,7 @@
 		{Engine: "e3", Located: true, Warm: true},
 		{Engine: "e2", Located: true},
 		{Engine: "e4", Located: true},
-		{Engine: "e1", Located: true, LastResort: true},
+		{Engine: "e1", Located: true},
 	} {
 		try, refused := r.Next()
 		must.Nil(t, refused)
--- a/internal/daemon/message.go
+++ b/internal/daemon/message.go
@@ -114,7 +114,7 @@
 		state.Members.Merge(message.GetMembers(), now)
 		lacking = state.Members.MergeDigest(beatsIn(message), now)
 		state.Health.Merge(message.GetFindings())
-		state.Admission.MergeLoads(state.Members.Self().GetName(), message.GetLoads())
+		state.MergeLoads(message.GetLoads(), now)
 	})
 	return lacking
 }
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hemlockknot/internal/coordination/control"
-	"hemlockknot/internal/protocol/targetapi"
 	"hemlockknot/internal/state/environment"
 )
 
@@ -70,10 +69,7 @@
 	d.loop.Do(func(state *control.State, now time.Time) {
 		state.Health.NoteProbe(probe.engine, report, probe.inside, now)
 		if report != nil {
-			d.takeReport(state, probe.engine, *report, now)
+			state.Admission.SetReport(probe.engine, report.Running, now)
 		}
 	})
 }
-
-// takeReport passes an engine's load report on to admission.
-func (d *Daemon) takeReport(*control.State, string, targetapi.Load, time.Time) {}
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -97,6 +97,7 @@
 	inRange(source, limits.BodyTimeout, minTimeout, maxTimeout, "body_timeout")
 	inRange(source, limits.WriteTimeout, minTimeout, maxTimeout, "write_timeout")
 	inRange(source, limits.StopTimeout, minTimeout, maxStopTimeout, "stop_timeout")
+	inRange(source, limits.StopDelay, 0, maxTimeout, "stop_delay")
 }
 
 // inRange reports a limit that is too small or too large.
