--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 
 # One JSON object a line; for example make measure ARGS="--seed 7".
 measure: build
-	go run ./cmd/hemlockknot-measure $(ARGS)
+	@go run ./cmd/hemlockknot-measure $(ARGS)
