Tell a target's own and whole answers from any others

Cause: an answer to another request with an empty body left its connection in the pool; an answer with two request ids, one marked as refused but successful, and one whose end only the connection's close shows were taken as good; a stream could begin at any offset.

Tests drive the client against a server that breaks each rule. One case keeps the naive way: on the shared connection net/http sends a POST with an empty body and an Idempotency-Key twice by itself; on a fresh one it is sent once.

Ruled out: closing the body alone, as net/http returns a connection to the pool when the answer has no body.

--- a/internal/transport/target/client.go
+++ b/internal/transport/target/client.go
@@ -89,17 +89,23 @@
 
 // send makes one HTTP request.
 func (c *Client) send(ctx context.Context, call targetapi.Call, method, path string, body []byte) (*targetapi.Answer, *refusal.Refusal) {
-	// connected is set once a connection is there to write to; before that no
-	// byte can have reached the target.
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	// used is set once a connection is there to write to; before that no byte
+	// can have reached the target.
+	var used atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info.Conn) }}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), call, method, path, body)
 	if err != nil {
 		return nil, refusal.NotRun(refusal.MalformedRequest, 0, "build call to %s: %v", call.Address, err)
 	}
 	response, err := c.clientFor(call).Do(request)
 	if err != nil {
-		return nil, callFailed(call, err, connected.Load())
+		return nil, callFailed(call, err, used.Load() != nil)
+	}
+	if refused := mismatch(call, response); refused != nil {
+		// Closing the body alone would keep the connection if the body is empty.
+		_ = (*used.Load()).Close()
+		_ = response.Body.Close()
+		return nil, refused
 	}
 	return readAnswer(call, response)
 }
@@ -142,23 +148,31 @@
 	return refusal.Unknown(refusal.EngineFailed, "call engine at %s: %v", call.Address, err)
 }
 
-// readAnswer checks that the answer belongs to the call and reads it, or leaves
-// its stream to be read.
-func readAnswer(call targetapi.Call, response *http.Response) (*targetapi.Answer, *refusal.Refusal) {
-	if id := response.Header.Get(targetapi.HeaderRequestID); id != call.RequestID {
-		_ = response.Body.Close()
-		return nil, refusal.Unknown(refusal.AnswerMismatch, "engine at %s answered request %q instead", call.Address, id)
+// mismatch returns a refusal if the answer does not name the call's request id,
+// and no other.
+func mismatch(call targetapi.Call, response *http.Response) *refusal.Refusal {
+	ids := response.Header.Values(targetapi.HeaderRequestID)
+	if len(ids) == 1 && ids[0] == call.RequestID {
+		return nil
 	}
+	return refusal.Unknown(refusal.AnswerMismatch, "engine at %s answered request %q instead", call.Address, ids)
+}
+
+// readAnswer reads an answer, or leaves its stream to be read.
+func readAnswer(call targetapi.Call, response *http.Response) (*targetapi.Answer, *refusal.Refusal) {
 	if refused := ownRefusal(call, response); refused != nil {
 		_ = response.Body.Close()
 		return nil, refused
 	}
 	answer := &targetapi.Answer{Status: response.StatusCode, Headers: answerHeaders(response.Header)}
 	if isEventStream(response) {
-		answer.Events = newEventStream(response.Body)
+		answer.Events = newEventStream(response.Body, call.Resume.GetOffset())
 		return answer, nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	if endsWithConnection(response) {
+		return nil, refusal.Unknown(refusal.AnswerIncomplete, "answer of engine at %s does not say where it ends", call.Address)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
 	if err != nil {
 		return nil, refusal.Unknown(refusal.AnswerIncomplete, "read answer of engine at %s: %v", call.Address, err)
@@ -170,8 +184,19 @@
 	return answer, nil
 }
 
-// ownRefusal returns the refusal that the target itself has made, if it did.
+// endsWithConnection reports whether a body has neither a length nor chunks, so
+// that one cut off half way looks like a whole one.
+func endsWithConnection(response *http.Response) bool {
+	chunked := len(response.TransferEncoding) > 0
+	return response.ContentLength < 0 && !chunked && response.Request.Method != http.MethodHead
+}
+
+// ownRefusal returns the refusal that the target itself has made, if it did. A
+// status of success contradicts a refusal, so the call may have run.
 func ownRefusal(call targetapi.Call, response *http.Response) *refusal.Refusal {
+	if response.StatusCode < http.StatusBadRequest {
+		return nil
+	}
 	switch response.Header.Get(targetapi.HeaderRefused) {
 	case targetapi.RefusedDraining:
 		return refusal.NotRun(refusal.EngineLeaving, retryAfterBusy, "engine at %s is draining", call.Address)
--- a/internal/transport/target/stream.go
+++ b/internal/transport/target/stream.go
@@ -24,7 +24,7 @@
 }
 
 // eventStream reads a model engine's server-sent events. The event id is its
-// offset, and ids rise by one.
+// offset, and ids rise by one from the one after the last that was received.
 type eventStream struct {
 	body io.ReadCloser
 	next func() (sse.Event, error, bool)
@@ -33,10 +33,11 @@
 	done bool
 }
 
-func newEventStream(body io.ReadCloser) *eventStream {
+// newEventStream reads the events after an offset, which is 0 for a whole stream.
+func newEventStream(body io.ReadCloser, after uint64) *eventStream {
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](events))
-	return &eventStream{body: body, next: next, stop: stop}
+	return &eventStream{body: body, next: next, stop: stop, last: after}
 }
 
 // Next implements targetapi.EventStream.
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("event after %d has the id %q: %w", s.last, event.LastEventID, err)
 	}
-	if s.last != 0 && offset != s.last+1 {
+	if offset != s.last+1 {
 		return nil, fmt.Errorf("event %d follows event %d: %w", offset, s.last, errOutOfOrder)
 	}
 	s.last = offset
