Bound the wait for a permission to start, and test it under failure

Cause: when the link from home to entry was cut in one direction only, the entry went on waiting for the home's question: the home's heartbeats still arrived over its own calls, so membership did not declare it down. A caller got nothing for 60 s. A home that reads a permission more than 10 s after its question does not dispatch: it was paused, and its entry may be long gone.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
+	"time"
 
 	"hemlockknot/internal/coordination/route"
 	"hemlockknot/internal/protocol/peerpb"
@@ -16,6 +19,8 @@
 	call *peerpb.Call
 	sink Sink
 	gone error // why the caller is gone, if it is
+	// asked is set by the home's question, or by its not coming in time.
+	asked atomic.Bool
 }
 
 // run makes the try and reports whether the answer is complete. The exchange
@@ -40,6 +45,9 @@
 	finished := make(chan struct{})
 	defer close(finished)
 	go watch(callerCtx, exchange, down, finished, abort)
+	if a.call.GetAskStart() {
+		defer a.expectQuestion(abort).Stop()
+	}
 	if err := exchange.Send(&peerpb.ForwardUp{Body: &peerpb.ForwardUp_Call{Call: a.call}}); err != nil {
 		a.path.HomeFailed(a.home, fmt.Errorf("send call: %w", err))
 		return false
@@ -47,6 +55,24 @@
 	return a.receive(callerCtx, exchangeCtx, exchange, giveUp)
 }
 
+// questionGrace is how much longer than the call's deadline the entry waits for
+// the home's question.
+const questionGrace = time.Second
+
+// errNoQuestion says that the home has not asked for permission in time.
+var errNoQuestion = errors.New("the home daemon did not ask for permission in time")
+
+// expectQuestion ends a try whose home neither asks for the permission that it
+// needs nor refuses, as when its link is cut in one direction. Nothing has run.
+func (a *attempt) expectQuestion(abort context.CancelCauseFunc) *time.Timer {
+	wait := time.Duration(a.call.GetDeadlineMs())*time.Millisecond + questionGrace
+	return time.AfterFunc(wait, func() {
+		if a.asked.CompareAndSwap(false, true) {
+			abort(errNoQuestion)
+		}
+	})
+}
+
 // receive passes the home's messages on until the final one. Once the caller is
 // gone it waits only for the home to confirm the cancellation.
 func (a *attempt) receive(callerCtx, exchangeCtx context.Context, exchange Exchange, giveUp context.CancelCauseFunc) bool {
@@ -121,6 +147,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if !a.asked.CompareAndSwap(false, true) {
+		return nil // too late: the try is being ended
+	}
 	a.path.Sent()
 	permission := &peerpb.StartPermission{Granted: true}
 	// A failed send shows at the next receive.
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -122,6 +122,10 @@
 	}
 }
 
+// permissionLife is how long after the question a permission is good. A daemon
+// that was paused longer does not dispatch the call.
+const permissionLife = 10 * time.Second
+
 // askStart asks the entry daemon for permission to dispatch a call that must
 // not be repeated. Without it nothing runs, so an entry that has not given it
 // knows that the call did not run, whatever becomes of this daemon.
@@ -129,6 +133,7 @@
 	if !call.GetAskStart() {
 		return nil
 	}
+	asked := time.Now()
 	ask := &peerpb.ForwardDown{Body: &peerpb.ForwardDown_AskStart{AskStart: &peerpb.AskStart{}}}
 	if err := link.Send(ask); err != nil {
 		return refusal.NotRun(refusal.StartDenied, 0, "ask entry for permission: %v", err)
@@ -140,6 +145,9 @@
 	if !answer.GetPermission().GetGranted() {
 		return refusal.NotRun(refusal.StartDenied, 0, "the entry denied permission")
 	}
+	if age := time.Since(asked); age > permissionLife {
+		return refusal.NotRun(refusal.StartDenied, 0, "the permission came after %s", age)
+	}
 	return nil
 }
 
