Claim idempotency keys in the platform before dispatch

A call that must not be repeated and has an Idempotency-Key is claimed in one of 16 shard objects before it is dispatched, by a conditional update that operations of the same time share. A repeat at any daemon gets the recorded answer, or is told that the first runs, that its outcome is unknown, or that the key belongs to another call. A lost answer to a write is resolved by reading back and looking for the attempt's own random id; a read that does not show it proves nothing, and only a later write of our own that succeeds does. A claim whose call did not run is released; while that is not certain the refusal does not say "not run". The entry checks the claim's age, counted on the monotonic clock from before the write was sent, before it permits the start. A keyed call goes on when its caller hangs up, so that the repeat finds the answer.

Found besides: a caller who hung up made the home send DELETE /v1/streams/ID to a plain service, which ran it as a call of its own. Only chats are cancelled so now.

Ruled out: a cached shard instead of a read before each write, as a stale one would go on refusing a repeat whose answer is recorded.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -18,7 +18,9 @@
 	home string
 	call *peerpb.Call
 	sink Sink
-	gone error // why the caller is gone, if it is
+	// mayStart is asked before a start is permitted, unless it is nil.
+	mayStart func() error
+	gone     error // why the caller is gone, if it is
 	// asked is set by the home's question, or by its not coming in time.
 	asked atomic.Bool
 }
@@ -150,8 +152,11 @@
 	if !a.asked.CompareAndSwap(false, true) {
 		return nil // too late: the try is being ended
 	}
-	a.path.Sent()
-	permission := &peerpb.StartPermission{Granted: true}
+	granted := a.mayStart == nil || a.mayStart() == nil
+	if granted {
+		a.path.Sent()
+	}
+	permission := &peerpb.StartPermission{Granted: granted}
 	// A failed send shows at the next receive.
 	_ = exchange.Send(&peerpb.ForwardUp{Body: &peerpb.ForwardUp_Permission{Permission: permission}})
 	return nil
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -61,6 +61,8 @@
 type Request struct {
 	Call      *peerpb.Call // Engine, Resume and LastResort are filled in here
 	Resumable bool
+	// MayStart is asked before the entry permits a start; nil allows it.
+	MayStart func() error
 }
 
 // Serve brings the request's answer to the sink. A refusal means that the
@@ -115,7 +117,7 @@
 		return false
 	}
 	call := tryCall(request.Call, try)
-	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink}
+	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, mayStart: request.MayStart}
 	return attempt.run(ctx, r.opener, home, down)
 }
 
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -155,7 +155,7 @@
 func (s *Server) dispatch(link Link, call *peerpb.Call, address string, generation uint64) error {
 	ctx, cancel := context.WithCancel(link.Context())
 	defer cancel()
-	go s.watchCancel(ctx, cancel, link, address, call.GetRequestId())
+	go s.watchCancel(ctx, cancel, link, address, call)
 	answer, refused := s.targets.Call(ctx, targetCall(call, address, generation))
 	if refused != nil {
 		s.noteRefusal(call.GetEngine(), refused)
@@ -169,17 +169,19 @@
 	return relay.run(ctx)
 }
 
-// watchCancel cancels the engine's work when the entry says that the caller is
+// watchCancel cancels a model engine's work when the entry says that the caller is
 // gone. When the link is merely lost the engine's stream is left to run, so that
 // the entry can resume it through another home.
-func (s *Server) watchCancel(ctx context.Context, cancel context.CancelFunc, link Link, address, requestID string) {
+func (s *Server) watchCancel(ctx context.Context, cancel context.CancelFunc, link Link, address string, call *peerpb.Call) {
 	for {
 		message, err := link.Recv()
 		if err != nil {
 			return
 		}
 		if message.GetCancel() != nil {
-			s.targets.Cancel(context.WithoutCancel(ctx), address, requestID)
+			if call.GetPath() == targetapi.PathChat {
+				s.targets.Cancel(context.WithoutCancel(ctx), address, call.GetRequestId())
+			}
 			cancel()
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,11 +13,13 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"hemlockknot/internal/coordination/claim"
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/home"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/state/ledger"
 	"hemlockknot/internal/state/platform"
 	"hemlockknot/internal/state/settings"
 	"hemlockknot/internal/transport/caller"
@@ -33,6 +35,7 @@
 	metrics   *metrics.Metrics
 	loop      *control.Loop
 	platform  *platform.Client
+	claims    *ledger.Ledger
 	peers     *peer.Client
 	home      *home.Server
 	callers   *caller.Server
@@ -58,15 +61,19 @@
 	homeServer := home.New(loop, target.NewClient(), config.FailureDomain)
 	peers := peer.NewClient(member, homeServer, counters)
 	router := entry.New(loop, peers, counters)
+	objects := platform.NewClient(config.Platform.URL, counters)
+	claims := ledger.New(objects, counters)
+	keeper := claim.NewKeeper(claims, claim.Times(config.Claims))
 	return &Daemon{
 		settings:  config,
 		log:       logger,
 		metrics:   counters,
 		loop:      loop,
-		platform:  platform.NewClient(config.Platform.URL, counters),
+		platform:  objects,
+		claims:    claims,
 		peers:     peers,
 		home:      homeServer,
-		callers:   caller.New(loop, router, config.Limits, counters, logger),
+		callers:   caller.New(loop, router, keeper, config.Limits, counters, logger),
 		listeners: opened,
 	}, nil
 }
@@ -167,7 +174,20 @@
 	if err := d.home.Drain(ctx); err != nil {
 		return fmt.Errorf("finish forwarded requests in progress: %w", err)
 	}
+	d.drainClaims()
 	_ = operators.Close()
 	d.log.Info("stopped")
 	return nil
 }
+
+// drainLimit is how long a stopping daemon goes on recording claims' results
+// while the platform is away. Repeats of what is left end as outcome unknown.
+const drainLimit = 10 * time.Second
+
+func (d *Daemon) drainClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	if err := d.claims.Drain(ctx); err != nil {
+		d.log.Warn("claims not recorded", "step", "drain claims", "err", err)
+	}
+}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -22,7 +22,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.loop.Do(func(state *control.State, now time.Time) { state.Tick(now) })
+			d.loop.Do(func(state *control.State, now time.Time) {
+				state.Tick(now)
+				d.claims.ShareBudget(len(state.Members.Live(now)))
+			})
 			if address := d.pickPeer(); address != "" {
 				go d.syncWith(ctx, address)
 			}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,6 +77,15 @@
 	m.scope.Tagged(map[string]string{"operation": operation}).Counter("platform_calls_total").Inc(1)
 }
 
+// ClaimsWritten counts a write of claims and the operations that share it.
+func (m *Metrics) ClaimsWritten(operations int) {
+	m.scope.Counter("claim_writes_total").Inc(1)
+	m.scope.Counter("claim_operations_total").Inc(int64(operations))
+}
+
+// Replayed counts a recorded answer that was given to a repeat.
+func (m *Metrics) Replayed() { m.scope.Counter("claim_replays_total").Inc(1) }
+
 // Generation shows the generation of the document in force.
 func (m *Metrics) Generation(generation uint64) {
 	m.scope.Gauge("document_generation").Update(float64(generation))
--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -43,6 +43,8 @@
 	KeyInUse          Reason = "idempotency_key_in_use"
 	KeyOutcomeUnknown Reason = "idempotency_key_outcome_unknown"
 	KeyMismatch       Reason = "idempotency_key_mismatch"
+	KeyAnswerNotKept  Reason = "idempotency_answer_not_kept"
+	KeyStoreFull      Reason = "idempotency_store_full"
 	CallerGone        Reason = "caller_gone"
 	Internal          Reason = "internal"
 )
@@ -65,6 +67,7 @@
 	KeyInUse:          http.StatusConflict,
 	KeyOutcomeUnknown: http.StatusConflict,
 	KeyMismatch:       http.StatusUnprocessableEntity,
+	KeyAnswerNotKept:  http.StatusConflict,
 	Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -34,6 +34,7 @@
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
 	Limits   Limits `yaml:"limits"`
+	Claims   Claims `yaml:"claims"`
 }
 
 // Platform says how the platform's object API is reached.
@@ -58,6 +59,19 @@
 	StopTimeout   time.Duration `yaml:"stop_timeout"`  // of a graceful shutdown
 }
 
+// Claims says how long claims of idempotency keys live. All daemons of an
+// environment have the same.
+type Claims struct {
+	// StartLimit is how old a claim may be when its call starts.
+	StartLimit time.Duration `yaml:"start_limit"`
+	// Lifetime is how long a claim is kept; a repeat after that runs again.
+	Lifetime time.Duration `yaml:"lifetime"`
+}
+
+// minClaimLife is the shortest Lifetime, in StartLimits: a paused daemon must
+// find its claim too old long before another daemon finds it expired.
+const minClaimLife = 10
+
 // Default returns the settings that a file may leave out.
 func Default() Settings {
 	return Settings{
@@ -76,6 +90,7 @@
 			WriteTimeout:  15 * time.Second,
 			StopTimeout:   10 * time.Minute,
 		},
+		Claims: Claims{StartLimit: time.Minute, Lifetime: 24 * time.Hour},
 	}
 }
 
@@ -103,5 +118,11 @@
 	if s.Platform.URL == "" {
 		problems = append(problems, errors.New("platform.url: missing"))
 	}
+	if s.Claims.StartLimit <= 0 {
+		problems = append(problems, fmt.Errorf("claims.start_limit: %s; must be positive", s.Claims.StartLimit))
+	}
+	if s.Claims.Lifetime < minClaimLife*s.Claims.StartLimit {
+		problems = append(problems, fmt.Errorf("claims.lifetime: %s; at least %d times start_limit", s.Claims.Lifetime, minClaimLife))
+	}
 	return errors.Join(problems...)
 }
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -95,10 +96,21 @@
 
 // serve routes a request and writes its answer.
 func (s *Server) serve(exchange *exchange, request entry.Request) *refusal.Refusal {
-	s.metrics.Request(request.Call.GetService())
 	sink := newSink(exchange, s.limits.WriteTimeout)
-	trace, refused := s.router.Serve(exchange.r.Context(), request, sink)
+	refused := s.route(exchange.r.Context(), exchange, request, sink)
+	return s.conclude(exchange, sink, refused)
+}
+
+// route brings a request's answer to the sink.
+func (s *Server) route(ctx context.Context, exchange *exchange, request entry.Request, sink *sink) *refusal.Refusal {
+	s.metrics.Request(request.Call.GetService())
+	trace, refused := s.router.Serve(ctx, request, sink)
 	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", trace)
+	return refused
+}
+
+// conclude ends the answer, or returns the refusal that takes its place.
+func (s *Server) conclude(exchange *exchange, sink *sink, refused *refusal.Refusal) *refusal.Refusal {
 	if refused != nil && sink.begun {
 		s.metrics.Refused(refused.Reason)
 		s.log.Info("interrupted", "request", exchange.id, "reason", refused.Reason, "detail", refused.Detail)
--- /dev/null
+++ b/internal/transport/caller/keyed.go
@@ -0,0 +1,78 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"hemlockknot/internal/coordination/claim"
+	"hemlockknot/internal/coordination/entry"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/refusal"
+	"hemlockknot/internal/state/ledger"
+)
+
+// Headers of calls with an idempotency key.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed marks an answer that was recorded for an earlier request.
+	HeaderReplayed = "X-Hemlockknot-Replayed"
+)
+
+// maxKeyBytes is the length of the longest idempotency key.
+const maxKeyBytes = 255
+
+// keyedRunLimit bounds a keyed call. It goes on when its caller hangs up, so
+// that a repeat finds its answer.
+const keyedRunLimit = 5 * time.Minute
+
+// keyed serves a call that runs at most once for its idempotency key.
+func (s *Server) keyed(exchange *exchange, call *peerpb.Call, keys []string) *refusal.Refusal {
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+		return refusal.NotRun(refusal.MalformedRequest, 0, "%s: one value of 1 to %d bytes is allowed", HeaderIdempotencyKey, maxKeyBytes)
+	}
+	held, recorded, refused := s.claims.Take(claim.Key{
+		ID:          claim.ID(call.GetWorkspace(), call.GetService(), keys[0]),
+		Fingerprint: claim.Fingerprint(call.GetMethod(), call.GetPath(), call.GetBody()),
+	})
+	if refused != nil {
+		return refused
+	}
+	sink := newSink(exchange, s.limits.WriteTimeout)
+	if recorded != nil {
+		s.replay(exchange, sink, recorded)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(exchange.r.Context()), keyedRunLimit)
+	defer cancel()
+	refused = s.route(ctx, exchange, entry.Request{Call: call, MayStart: held.MayStart}, sink)
+	if refused != nil {
+		return s.conclude(exchange, sink, held.Fail(refused))
+	}
+	held.Finish(sink.recording())
+	return s.conclude(exchange, sink, nil)
+}
+
+// replay writes the recorded answer of an earlier request.
+func (s *Server) replay(exchange *exchange, sink *sink, recorded *ledger.Answer) {
+	s.metrics.Replayed()
+	exchange.w.Header().Set(HeaderReplayed, "true")
+	var headers []*peerpb.Header
+	for _, header := range recorded.Headers {
+		headers = append(headers, &peerpb.Header{Name: header.Name, Value: header.Value})
+	}
+	_ = sink.Head(recorded.Status, headers)
+	_ = sink.Body(recorded.Body)
+	sink.finish()
+}
+
+// recording returns a whole answer as a claim keeps it, or nil for a stream.
+func (s *sink) recording() *ledger.Answer {
+	if s.begun {
+		return nil
+	}
+	answer := &ledger.Answer{Status: s.status, Body: s.body}
+	for _, header := range s.headers {
+		answer.Headers = append(answer.Headers, ledger.Header{Name: header.GetName(), Value: header.GetValue()})
+	}
+	return answer
+}
--- a/internal/transport/caller/plain.go
+++ b/internal/transport/caller/plain.go
@@ -7,7 +7,8 @@
 )
 
 // plain serves a call of a plain service. A call that the document does not
-// name as repeatable is dispatched with the entry's permission only.
+// name as repeatable is dispatched with the entry's permission only, and if it
+// has an idempotency key, after the key has been claimed.
 func (s *Server) plain(exchange *exchange) *refusal.Refusal {
 	service := exchange.snapshot.Document.ServiceByPath(exchange.r.URL.Path)
 	if service == nil {
@@ -26,5 +27,8 @@
 	call.AskStart = !call.Repeatable
 	// The request's own id spreads the calls over the engines.
 	call.ChatKey = ranking.Hash("call", exchange.id)
+	if keys := exchange.r.Header.Values(HeaderIdempotencyKey); len(keys) > 0 && !call.Repeatable {
+		return s.keyed(exchange, call, keys)
+	}
 	return s.serve(exchange, entry.Request{Call: call})
 }
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rs/xid"
 
+	"hemlockknot/internal/coordination/claim"
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/route"
@@ -40,6 +41,7 @@
 type Server struct {
 	loop    *control.Loop
 	router  Router
+	claims  *claim.Keeper
 	limits  settings.Limits
 	metrics *metrics.Metrics
 	log     *log.Logger
@@ -48,8 +50,8 @@
 }
 
 // New returns a server; Serve runs it.
-func New(loop *control.Loop, router Router, limits settings.Limits, counters *metrics.Metrics, logger *log.Logger) *Server {
-	server := &Server{loop: loop, router: router, limits: limits, metrics: counters, log: logger}
+func New(loop *control.Loop, router Router, claims *claim.Keeper, limits settings.Limits, counters *metrics.Metrics, logger *log.Logger) *Server {
+	server := &Server{loop: loop, router: router, claims: claims, limits: limits, metrics: counters, log: logger}
 	server.http = &http.Server{
 		Handler:           server.handler(),
 		ReadHeaderTimeout: limits.HeaderTimeout,
--- a/internal/transport/caller/sink.go
+++ b/internal/transport/caller/sink.go
@@ -84,7 +84,9 @@
 		header.Add(field.GetName(), field.GetValue())
 	}
 	header.Set(refusal.HeaderRequestID, s.exchange.id)
-	header.Set(HeaderEngine, s.engine)
+	if s.engine != "" {
+		header.Set(HeaderEngine, s.engine)
+	}
 	s.exchange.w.WriteHeader(s.status)
 }
 
