Test that each caller gets its own whole answer, or an error

Engines that answer with another request's id, streamed or not: the answer goes to nobody. The engine stand-in now crosses answers that are no stream as well; before, its fault did nothing for them.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -314,7 +314,11 @@
 	for n := 1; n <= tokens; n++ {
 		text.WriteString(token(running.record.Chat, n))
 	}
-	w.Header().Set(targetapi.HeaderRequestID, running.record.RequestID)
+	id := running.record.RequestID
+	if s.take(func(f *Fault) *int { return &f.WrongIDs }) {
+		id = "another-request"
+	}
+	w.Header().Set(targetapi.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(completion{
 		ID: "chatcmpl-" + running.record.RequestID, Object: "chat.completion",
