End a forwarded exchange in both directions

Cause: a home that refuses a call reads no further message of its stream. When the caller hung up at that moment, the entry's cancellation stayed unread, and drpc's reader of the connection waited for somebody to take it: it never saw the end of the stream, nor the next call on the pooled connection. That call's entry waited for as long as its caller did.

The home's side now closes the stream when it is done, which frees the reader.

The test of a paused holder waits for the claim in the platform now. It probed with the key itself before, and failed once when its probe was served first.

--- a/internal/integration/keyed_test.go
+++ b/internal/integration/keyed_test.go
@@ -13,6 +13,7 @@
 	"hemlockknot/internal/protocol/refusal"
 	"hemlockknot/internal/standin/platform"
 	"hemlockknot/internal/standin/service"
+	platformapi "hemlockknot/internal/state/platform"
 	"hemlockknot/internal/transport/caller"
 )
 
@@ -233,7 +234,8 @@
 	done := make(chan answer, 1)
 	go func() { done <- book(f.entry, "k1", "one catch") }()
 	waitFor(t, settleLimit, "the key is claimed", func() bool {
-		return book(f.home, "k1", "one catch").code() == refusal.KeyInUse
+		claims, err := f.platformClient().List(context.Background(), platformapi.KindClaims)
+		return err == nil && len(claims.Items) > 0
 	})
 	f.entry.freeze()
 	claimed := time.Now()
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -28,9 +28,14 @@
 	home *home.Server
 }
 
-// Forward implements the drpc service.
+// Forward implements the drpc service. It ends the stream in both directions: a
+// message that the home did not read, such as a cancellation that crossed its
+// refusal, would hold up the connection for all later calls.
 func (s service) Forward(stream peerpb.DRPCPeer_ForwardStream) error {
-	return s.home.Serve(stream)
+	if err := s.home.Serve(stream); err != nil {
+		return err
+	}
+	return stream.Close()
 }
 
 // Serve answers peers on the listener until ctx ends.
