--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -64,6 +64,8 @@
 	// Deadline is until when the request must have started.
 	Deadline time.Time
 	Opening  bool // a chat's first request: no engine holds its context
+	// MayStart is asked before the entry permits a start; nil allows it.
+	MayStart func() error
 }
 
 // Serve brings the request's answer to the sink. A refusal means that the
@@ -140,11 +142,12 @@
 	}
 	call := tryCall(request.Call, try, time.Until(request.Deadline))
 	call.Loads = loads
-	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, started: func(engine string) {
+	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, mayStart: request.MayStart}
+	attempt.started = func(engine string) {
 		if !try.Warm {
 			r.placed(call, engine)
 		}
-	}}
+	}
 	served = attempt.run(ctx, r.opener, home, down)
 	return served, attempt.load
 }
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -157,6 +157,10 @@
 	}
 }
 
+// permissionLife is how long after the question a permission is good. A daemon
+// that was paused longer does not dispatch the call.
+const permissionLife = 10 * time.Second
+
 // askStart asks the entry daemon for permission to dispatch a call that must
 // not be repeated. Without it nothing runs, so an entry that has not given it
 // knows that the call did not run, whatever becomes of this daemon.
@@ -164,6 +168,7 @@
 	if !call.GetAskStart() {
 		return nil
 	}
+	asked := time.Now()
 	ask := &peerpb.ForwardDown{Body: &peerpb.ForwardDown_AskStart{AskStart: &peerpb.AskStart{}}}
 	if err := link.Send(ask); err != nil {
 		return refusal.NotRun(refusal.StartDenied, 0, "ask entry for permission: %v", err)
@@ -175,6 +180,9 @@
 	if !answer.GetPermission().GetGranted() {
 		return refusal.NotRun(refusal.StartDenied, 0, "the entry denied permission")
 	}
+	if age := time.Since(asked); age > permissionLife {
+		return refusal.NotRun(refusal.StartDenied, 0, "the permission came after %s", age)
+	}
 	return nil
 }
 
@@ -182,7 +190,7 @@
 func (s *Server) dispatch(link Link, call *peerpb.Call, address string, generation uint64) error {
 	ctx, cancel := context.WithCancel(link.Context())
 	defer cancel()
-	go s.watchCancel(ctx, cancel, link, address, call.GetRequestId())
+	go s.watchCancel(ctx, cancel, link, address, call)
 	answer, refused := s.callTarget(ctx, cancel, call, targetCall(call, address, generation))
 	if refused != nil {
 		s.noteRefusal(call.GetEngine(), refused)
@@ -252,17 +260,19 @@
 	return min(max(left/2, minFirstEvent), maxFirstEvent)
 }
 
-// watchCancel cancels the engine's work when the entry says that the caller is
+// watchCancel cancels a model engine's work when the entry says that the caller is
 // gone. When the link is merely lost the engine's stream is left to run, so that
 // the entry can resume it through another home.
-func (s *Server) watchCancel(ctx context.Context, cancel context.CancelFunc, link Link, address, requestID string) {
+func (s *Server) watchCancel(ctx context.Context, cancel context.CancelFunc, link Link, address string, call *peerpb.Call) {
 	for {
 		message, err := link.Recv()
 		if err != nil {
 			return
 		}
 		if message.GetCancel() != nil {
-			s.targets.Cancel(context.WithoutCancel(ctx), address, requestID)
+			if call.GetPath() == targetapi.PathChat {
+				s.targets.Cancel(context.WithoutCancel(ctx), address, call.GetRequestId())
+			}
 			cancel()
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,12 +13,14 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"hemlockknot/internal/coordination/claim"
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/home"
 	"hemlockknot/internal/coordination/trace"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/state/ledger"
 	"hemlockknot/internal/state/platform"
 	"hemlockknot/internal/state/settings"
 	"hemlockknot/internal/transport/caller"
@@ -34,6 +36,7 @@
 	metrics   *metrics.Metrics
 	loop      *control.Loop
 	platform  *platform.Client
+	claims    *ledger.Ledger
 	peers     *peer.Client
 	home      *home.Server
 	prober    *target.Prober
@@ -72,16 +75,20 @@
 	peers.EnvironmentID = environmentID(config.Environment)
 	traces := trace.NewLog()
 	router := trace.NewRouter(entry.New(loop, peers, counters), traces)
+	objects := platform.NewClient(config.Platform.URL, counters)
+	claims := ledger.New(objects, counters)
+	keeper := claim.NewKeeper(claims, claim.Times(config.Claims))
 	return &Daemon{
 		settings:  config,
 		log:       logger,
 		metrics:   counters,
 		loop:      loop,
-		platform:  platform.NewClient(config.Platform.URL, counters),
+		platform:  objects,
+		claims:    claims,
 		peers:     peers,
 		home:      homeServer,
 		prober:    target.NewProber(counters.ProbeBytes),
-		callers:   caller.New(loop, router, config.Limits, counters, logger),
+		callers:   caller.New(loop, router, keeper, config.Limits, counters, logger),
 		traces:    traces,
 		listeners: opened,
 	}, nil
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,6 +30,7 @@
 	if err := d.home.Drain(ctx); err != nil {
 		return fmt.Errorf("finish forwarded requests in progress: %w", err)
 	}
+	d.drainClaims()
 	d.tellEveryone(ctx)
 	d.log.Info("stopped")
 	return nil
@@ -45,3 +46,15 @@
 	}
 	group.Wait()
 }
+
+// drainLimit is how long a stopping daemon goes on recording claims' results
+// while the platform is away. Repeats of what is left end as outcome unknown.
+const drainLimit = 10 * time.Second
+
+func (d *Daemon) drainClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	if err := d.claims.Drain(ctx); err != nil {
+		d.log.Warn("claims not recorded", "step", "drain claims", "err", err)
+	}
+}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -38,6 +38,9 @@
 			return
 		case <-ticker.C:
 			d.round(ctx)
+			d.loop.Do(func(state *control.State, now time.Time) {
+				d.claims.ShareBudget(len(state.Members.Live(now)))
+			})
 			if rounds++; rounds%placementRounds == 0 {
 				d.sendPlacements(ctx)
 				strays.round(ctx, d)
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -25,6 +25,7 @@
 	s.checkNames(source)
 	s.checkAddresses(source)
 	s.checkLimits(source)
+	s.checkClaims(source)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -100,6 +101,20 @@
 	inRange(source, limits.StopDelay, 0, maxTimeout, "stop_delay")
 }
 
+// minClaimLife is the shortest Lifetime, in StartLimits: a paused daemon must
+// find its claim too old long before another daemon finds it expired.
+const minClaimLife = 10
+
+func (s *Settings) checkClaims(source *strictyaml.Source) {
+	claims := s.Claims
+	if claims.StartLimit < minTimeout || claims.StartLimit > maxTimeout {
+		source.Report(claims.StartLimit, fmt.Sprintf("%v to %v", minTimeout, maxTimeout), "claims", "start_limit")
+	}
+	if claims.Lifetime < minClaimLife*claims.StartLimit {
+		source.Report(claims.Lifetime, fmt.Sprintf("at least %d times start_limit", minClaimLife), "claims", "lifetime")
+	}
+}
+
 // inRange reports a limit that is too small or too large.
 func inRange[T int | int64 | time.Duration](source *strictyaml.Source, value, lowest, highest T, key string) {
 	if value < lowest || value > highest {
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -33,6 +33,7 @@
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
 	Limits   Limits `yaml:"limits"`
+	Claims   Claims `yaml:"claims"`
 }
 
 // Platform says how the platform's object API is reached.
@@ -60,6 +61,15 @@
 	StopDelay time.Duration `yaml:"stop_delay"`
 }
 
+// Claims says how long claims of idempotency keys live. All daemons of an
+// environment have the same.
+type Claims struct {
+	// StartLimit is how old a claim may be when its call starts.
+	StartLimit time.Duration `yaml:"start_limit"`
+	// Lifetime is how long a claim is kept; a repeat after that runs again.
+	Lifetime time.Duration `yaml:"lifetime"`
+}
+
 // Default returns the settings that a file may leave out.
 func Default() Settings {
 	return Settings{
@@ -79,6 +89,7 @@
 			StopTimeout:   10 * time.Minute,
 			StopDelay:     2 * time.Second,
 		},
+		Claims: Claims{StartLimit: time.Minute, Lifetime: 24 * time.Hour},
 	}
 }
 
--- a/internal/transport/peer/forward_test.go
+++ b/internal/transport/peer/forward_test.go
@@ -61,10 +61,10 @@
 func (d *discard) Event(*peerpb.Event) error      { d.events++; return nil }
 func (*discard) Body([]byte) error                { return nil }
 
-type uncounted struct{}
+type unobserved struct{}
 
-func (uncounted) ControlBytes(int)       {}
-func (uncounted) Retried(refusal.Reason) {}
+func (unobserved) ControlBytes(int)       {}
+func (unobserved) Retried(refusal.Reason) {}
 
 const benchDocument = `
 name: bench
@@ -93,13 +93,13 @@
 		loops[self.GetName()] = loop
 	}
 	far := home.New(loops["home"], target, "d")
-	go func() { _ = Serve(ctx, listener, far, nil, uncounted{}) }()
+	go func() { _ = Serve(ctx, listener, far, nil, unobserved{}) }()
 	loops["entry"].Do(func(state *control.State, now time.Time) {
 		state.Members.Merge([]*peerpb.Member{homeMember}, now.Add(time.Hour))
 	})
-	client := NewClient(entryMember, home.New(loops["entry"], target, "other"), uncounted{})
+	client := NewClient(entryMember, home.New(loops["entry"], target, "other"), unobserved{})
 	t.Cleanup(client.Close)
-	return entry.New(loops["entry"], client, uncounted{})
+	return entry.New(loops["entry"], client, unobserved{})
 }
 
 func serveOne(t testing.TB, router *entry.Router, id int) int {
