Keep paused daemons from losing their peers or reviving dead ones

Cause: a daemon that thaws processes the messages that waited in its sockets; one from a daemon that died meanwhile carried a heartbeat one beat higher than the others had heard, and so brought it back everywhere for two seconds. A daemon paused before its first beat did not notice its pause. Daemons marked as not reaching the platform were passed over for 30 s after they reached it again.

Now a silent member counts as alive only when its heartbeat rises twice, 200 ms apart: held-up messages come all at once. The first beat is at the start, and a daemon is passed over for 5 s.

--- a/internal/coordination/member/digest.go
+++ b/internal/coordination/member/digest.go
@@ -101,8 +101,7 @@
 		}
 		beat.Name = name
 		if peer := t.peers[name]; beat.Heartbeat > peer.heartbeat {
-			peer.heartbeat = beat.Heartbeat
-			peer.rose = now
+			t.raise(peer, beat.Heartbeat, now)
 		}
 	}
 	return len(t.missing) > 0
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -24,6 +24,10 @@
 	// PauseAfter is the gap between beats from which a daemon takes itself to
 	// have been paused.
 	PauseAfter = time.Second
+	// confirmAfter is how long after a silent member's first new heartbeat another
+	// one must rise before it counts as alive again. Messages that were held up
+	// come all at once; a running member's heartbeats do not.
+	confirmAfter = 200 * time.Millisecond
 	// ForgetAfter is how long a dead member's last incarnation is remembered, so
 	// that late gossip does not bring it back.
 	ForgetAfter = 10 * time.Minute
@@ -45,6 +49,7 @@
 	id        uint32
 	heartbeat uint64
 	rose      time.Time // when the heartbeat last rose
+	returned  time.Time // when it first rose after a silence; zero otherwise
 	grace     time.Time // counts as alive until then in any case
 }
 
@@ -102,8 +107,11 @@
 			continue
 		}
 		known := t.peers[member.GetName()]
-		if known == nil || known.olderThan(member) {
+		switch {
+		case known == nil || known.member.GetIncarnation() < member.GetIncarnation():
 			t.set(member, now)
+		case known.olderThan(member):
+			t.replace(known, member, now)
 		}
 		delete(t.missing, entryID(member))
 	}
@@ -118,11 +126,33 @@
 	t.peers[member.GetName()] = &peer{member: member, id: id, heartbeat: member.GetHeartbeat(), rose: now}
 }
 
-func (p *peer) olderThan(member *peerpb.Member) bool {
-	if p.member.GetIncarnation() != member.GetIncarnation() {
-		return p.member.GetIncarnation() < member.GetIncarnation()
+// replace takes in a new entry of the same incarnation.
+func (t *Table) replace(peer *peer, member *peerpb.Member, now time.Time) {
+	delete(t.names, peer.id)
+	peer.member = member
+	peer.id = entryID(member)
+	t.names[peer.id] = member.GetName()
+	t.raise(peer, member.GetHeartbeat(), now)
+}
+
+// raise takes in a higher heartbeat.
+func (t *Table) raise(peer *peer, heartbeat uint64, now time.Time) {
+	peer.heartbeat = heartbeat
+	silentAfter := t.downAfter(peer.member)
+	if now.Sub(peer.rose) > silentAfter {
+		if now.Sub(peer.returned) > silentAfter {
+			peer.returned = now
+		}
+		if now.Sub(peer.returned) < confirmAfter {
+			return
+		}
 	}
-	return p.heartbeat < member.GetHeartbeat()
+	peer.rose = now
+	peer.returned = time.Time{}
+}
+
+func (p *peer) olderThan(member *peerpb.Member) bool {
+	return p.member.GetIncarnation() == member.GetIncarnation() && p.heartbeat < member.GetHeartbeat()
 }
 
 // Expire forgets members that have been dead for ForgetAfter.
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+func TestHeldUpMessagesReviveNone(t *testing.T) {
+	a, b := newTable(0, 1), newTable(1, 1)
+	tables := []*Table{a, b}
+	now := gossip(tables, rand.New(rand.NewPCG(7, 7)), start, 4)
+	var heldUp [][]Beat
+	for range 3 {
+		now = now.Add(round)
+		b.Beat(now)
+		heldUp = append(heldUp, b.Digest(now))
+	}
+	now = now.Add(time.Minute)
+	a.Beat(now)
+	for range 2 * DownAfter / round {
+		now = now.Add(round)
+		a.Beat(now)
+	}
+	for _, digest := range heldUp {
+		a.MergeDigest(digest, now)
+	}
+	must.False(t, a.Alive("d1", now))
+	must.Len(t, 1, a.Digest(now))
+	for range 2 { // it runs after all
+		now = now.Add(round)
+		b.Beat(now)
+		a.MergeDigest(b.Digest(now), now)
+	}
+	must.True(t, a.Alive("d1", now))
+}
+
 func TestPausedDaemonKeepsItsView(t *testing.T) {
 	a, b, c := newTable(0, 1), newTable(1, 1), newTable(2, 1)
 	tables := []*Table{a, b, c}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -23,7 +23,7 @@
 	relistInterval = 5 * time.Minute
 	// awayLifetime is how long a daemon that does not watch is passed over after
 	// its last failed call.
-	awayLifetime = 30 * time.Second
+	awayLifetime = 5 * time.Second
 )
 
 // runPlatform follows the environment object and the list of hosts while this
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -28,6 +28,7 @@
 
 // runSync exchanges control state with a random peer each round.
 func (d *Daemon) runSync(ctx context.Context) {
+	d.loop.Do(func(state *control.State, now time.Time) { state.Tick(now) })
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -258,3 +258,31 @@
 		f.awaitInForce(present.Metadata.Generation, inForceLimit)
 	}
 }
+
+func TestWatchersThatLoseThePlatformAreReplaced(t *testing.T) {
+	f := newFleet(t)
+	f.describeSmallFleet()
+	f.addSmallEngines()
+	generation := f.publish()
+	var proxies []*faultProxy
+	for n := range 4 {
+		proxy := newFaultProxy(t)
+		proxy.forward(f.platform.listening["address"])
+		proxies = append(proxies, proxy)
+		f.addDaemon(fmt.Sprint("d", n), daemonOptions{failureDomain: "domain-a", platform: proxy.address()})
+	}
+	f.awaitSettled(generation)
+	present := f.environmentObject()
+	for spared := range proxies { // one daemon reaches the platform, each in turn
+		for n, proxy := range proxies {
+			if n != spared {
+				proxy.cut()
+			}
+		}
+		present = f.change(present)
+		f.awaitInForce(present.Metadata.Generation, inForceLimit)
+		for _, proxy := range proxies {
+			proxy.restore()
+		}
+	}
+}
