Vary the length of answers in the test of the load bound

Cause: with answers of one length, started in one instant, the requests of an engine end together, wave after wave. Its limits are unchanged.

--- a/internal/integration/bound_test.go
+++ b/internal/integration/bound_test.go
@@ -220,6 +220,7 @@
 	begun := time.Now()
 	group := startCallers(f, callerCount, others, func(caller, number int) chatRequest {
 		request := hot
+		request.maxTokens = 50 + (caller*17+number*29)%100 // so that they do not end together
 		if caller%2 == 0 {
 			request.chat = fmt.Sprintf("chat-%d-%d", caller, number%3)
 		}
