Queue where a request spilled from; ask another home for permission in time

The entry waited for a home's question as long as the request's whole deadline, so no time was left for another home (TestBookingUnderFailure/home's_question_held_back: not_run instead of answered); it now waits half of the time that is left. Ruled out: spreading every finding at once, which costs bytes and is still late by a message.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -59,9 +59,9 @@
 	return a.receive(callerCtx, exchangeCtx, exchange, giveUp)
 }
 
-// questionGrace is how much longer than the call's deadline the entry waits for
-// the home's question.
-const questionGrace = time.Second
+// minQuestionWait is the least time that the entry waits for the home's question.
+// It waits half of the time that is left, so that another home can be asked.
+const minQuestionWait = time.Second
 
 // errNoQuestion says that the home has not asked for permission in time.
 var errNoQuestion = errors.New("the home daemon did not ask for permission in time")
@@ -69,7 +69,8 @@
 // expectQuestion ends a try whose home neither asks for the permission that it
 // needs nor refuses, as when its link is cut in one direction. Nothing has run.
 func (a *attempt) expectQuestion(abort context.CancelCauseFunc) *time.Timer {
-	wait := time.Duration(a.call.GetDeadlineMs())*time.Millisecond + questionGrace
+	left := time.Duration(a.call.GetDeadlineMs()) * time.Millisecond
+	wait := max(left/2, minQuestionWait)
 	return time.AfterFunc(wait, func() {
 		if a.asked.CompareAndSwap(false, true) {
 			abort(errNoQuestion)
--- a/internal/coordination/route/returns_test.go
+++ b/internal/coordination/route/returns_test.go
@@ -34,6 +34,25 @@
 	must.True(t, last.LastResort)
 }
 
+// A busy home may name an engine that it does not know to be leaving.
+func TestRequestWaitsWhereItSpilledFromIfTheNamedEngineIsLeaving(t *testing.T) {
+	path := New(Request{}, []string{"e1"})
+	_, refused := path.Next()
+	must.Nil(t, refused)
+	path.Refused("home", busy("e2"))
+	try, refused := path.Next()
+	must.Nil(t, refused)
+	must.Eq(t, "e2", try.Engine)
+	path.Refused("home", refusal.NotRun(refusal.EngineLeaving, 0, "leaving"))
+	try, refused = path.Next()
+	must.Nil(t, refused)
+	must.Eq(t, "e1", try.Engine)
+	must.True(t, try.LastResort)
+	path.Refused("home", busy(""))
+	_, refused = path.Next()
+	must.Eq(t, refusal.EngineBusy, refused.Reason)
+}
+
 func TestRequestEndsWhenNoHomeNamesABetterEngine(t *testing.T) {
 	path := New(Request{}, []string{"e1"})
 	try, refused := path.Next()
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -60,12 +60,16 @@
 	homes      []string
 	sameEngine bool   // the next try goes to the current engine's next home
 	warm       string // the engine that the chat's directory has named
-	mayRun     bool   // the current try may have been dispatched
-	started    bool   // the engine has started the current try
-	offset     uint64
-	final      *refusal.Refusal
-	last       *refusal.Refusal
-	trace      []Trace
+	// spilledFrom is the last engine whose busy home sent the request elsewhere
+	// instead of queueing it.
+	spilledFrom string
+	lastResort  bool // a last resort has been tried
+	mayRun      bool // the current try may have been dispatched
+	started     bool // the engine has started the current try
+	offset      uint64
+	final       *refusal.Refusal
+	last        *refusal.Refusal
+	trace       []Trace
 }
 
 // New returns the route of a request with its candidates, best first.
@@ -99,7 +103,13 @@
 		return r.try(), nil
 	}
 	if len(r.candidates) == 0 || r.engines >= r.maxEngines() {
-		return Try{}, r.exhausted()
+		if r.spilledFrom == "" || r.lastResort {
+			return Try{}, r.exhausted()
+		}
+		// The engines that a busy home has named take no work after all: the
+		// request waits in that home's queue.
+		r.candidates = []string{r.spilledFrom}
+		r.returns = MaxReturns
 	}
 	r.current = r.candidates[0]
 	r.candidates = r.candidates[1:]
@@ -117,6 +127,7 @@
 		Located:       r.warm != "",
 		Warm:          r.warm == r.current,
 	}
+	r.lastResort = r.lastResort || try.LastResort
 	if r.started {
 		try.Resume = &peerpb.Resume{Engine: r.current, Offset: r.offset}
 	}
@@ -177,6 +188,9 @@
 			r.fail(home, refusal.Unknown(refusal.AnswerIncomplete, "resume at engine %s: %s", r.current, refused.Detail))
 			return
 		}
+		if refused.Reason == refusal.EngineBusy && refused.Better != "" {
+			r.spilledFrom = r.current
+		}
 		r.prefer(refused.Better)
 		r.note(home, refused)
 		return
