--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -10,7 +10,8 @@
 //     while the service has capacity left, and an idle service takes its first;
 //   - its fair load times the load bound less the headroom, rounded down: the
 //     rest of the bound is for the mean that falls while requests run. A request
-//     that every other candidate has refused may use the headroom.
+//     whose chat's context the engine holds leaves less of it free, and one that
+//     every other candidate has refused none.
 //
 // Neither exceeds the load bound times the mean, rounded up. A joining engine's
 // capacity counts in part, rising over SlowStart.
@@ -48,6 +49,7 @@
 	Priority   int32
 	Deadline   time.Time // when it must have started
 	LastResort bool      // every other candidate has refused
+	Warm       bool      // the engine holds the context of the request's chat
 	Resumed    bool      // the engine runs it already, admitted by another home
 }
 
@@ -128,7 +130,7 @@
 	if c.workspaceFull(target, request.Workspace) {
 		return refused(workspaceRefusal(target, request.Workspace)), nil
 	}
-	if len(target.queue) == 0 && target.hasRoom(request.LastResort) {
+	if len(target.queue) == 0 && target.hasRoom(request) {
 		return c.start(c.newEntry(target, request), now), nil
 	}
 	if better := c.leastLoaded(target.service, target.name); better != "" && !request.LastResort {
--- a/internal/coordination/admission/bound.go
+++ b/internal/coordination/admission/bound.go
@@ -17,7 +17,10 @@
 	// Headroom is the part of the load bound above the mean that admission
 	// leaves free, for a mean that falls while requests run. A request that all
 	// other candidates have refused may use it.
-	Headroom = 0.4
+	Headroom = 0.6
+	// WarmHeadroom is the same for a request whose chat's context the engine
+	// holds: what others leave free is for such requests first.
+	WarmHeadroom = 0.35
 )
 
 // begin starts counting an engine that takes work. The first engines of a
@@ -46,15 +49,12 @@
 
 // limit returns how many requests the engine may carry, by the rule in the
 // package comment.
-func (e *engine) limit(lastResort bool) int {
+func (e *engine) limit(headroom float64) int {
 	if !e.taking || e.removed {
 		return 0
 	}
 	fair := float64(e.service.load+1) * e.weight() / e.service.weight
-	target := 1 + (e.service.bound-1)*(1-Headroom)
-	if lastResort {
-		target = e.service.bound
-	}
+	target := 1 + (e.service.bound-1)*(1-headroom)
 	allowed := max(math.Ceil(fair-rounding), math.Floor(target*fair+rounding))
 	return min(int(allowed), int(e.weight()))
 }
@@ -63,7 +63,18 @@
 const rounding = 1e-9
 
 // hasRoom reports whether the engine may take one more request.
-func (e *engine) hasRoom(lastResort bool) bool { return e.carried() < e.limit(lastResort) }
+func (e *engine) hasRoom(request Request) bool { return e.carried() < e.limit(headroomFor(request)) }
+
+// headroomFor returns the part of the bound's margin that a request leaves free.
+func headroomFor(request Request) float64 {
+	switch {
+	case request.LastResort:
+		return 0
+	case request.Warm:
+		return WarmHeadroom
+	}
+	return Headroom
+}
 
 // relativeLoad is what the engine carries for its capacity.
 func (e *engine) relativeLoad(extra int) float64 {
@@ -95,7 +106,7 @@
 func (c *Controller) leastLoaded(known *service, exclude string) string {
 	name, lowest := "", math.Inf(1)
 	for _, other := range known.engines {
-		if other.name == exclude || other.seen() >= other.limit(false) || !c.takes(other.name) {
+		if other.name == exclude || other.seen() >= other.limit(Headroom) || !c.takes(other.name) {
 			continue
 		}
 		if load := other.relativeLoad(1); load < lowest {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -41,7 +41,7 @@
 func (c *Controller) pump(target *engine, now time.Time) []Decision {
 	var decisions []Decision
 	c.sortQueue(target)
-	for len(target.queue) > 0 && target.hasRoom(target.queue[0].request.LastResort) && c.takes(target.name) {
+	for len(target.queue) > 0 && target.hasRoom(target.queue[0].request) && c.takes(target.name) {
 		next := target.queue[0]
 		target.queue = target.queue[1:]
 		decisions = append(decisions, c.start(next, now))
@@ -157,7 +157,7 @@
 // compare orders two queued requests by the rule in the package comment.
 func (c *Controller) compare(target *engine, running map[string]int, shares float64, a, b *entry) int {
 	usedA, usedB := c.used(running, a), c.used(running, b)
-	fair := float64(target.limit(false)) / shares
+	fair := float64(target.limit(Headroom)) / shares
 	return cmp.Or(
 		compareBool(usedA < fair, usedB < fair),
 		cmp.Compare(b.request.Priority, a.request.Priority),
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -141,6 +141,7 @@
 		return false, nil
 	}
 	call := tryCall(request.Call, try, time.Until(request.Deadline))
+	call.Warm = try.Warm || (!request.Opening && try.Engine == call.GetFirstEngine())
 	call.Loads = loads
 	attempt := &attempt{path: path, home: home.GetName(), call: call, sink: sink, mayStart: request.MayStart}
 	attempt.started = func(engine string) {
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -4,6 +4,7 @@
 package member
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -200,21 +201,38 @@
 	return nil
 }
 
+// known returns a member or this daemon itself.
+func (t *Table) known(name string) *peerpb.Member {
+	if name == t.self.GetName() {
+		return t.self
+	}
+	return t.Member(name)
+}
+
 // Live returns the daemons that are believed to run, this one included, in the
 // order of their names.
 func (t *Table) Live(now time.Time) []*peerpb.Member {
-	live := []*peerpb.Member{t.self}
-	for _, peer := range t.peers {
-		if t.alive(peer, now) {
-			live = append(live, peer.member)
-		}
-	}
+	live := slices.Collect(t.allLive(now))
 	slices.SortFunc(live, func(a, b *peerpb.Member) int {
 		return strings.Compare(a.GetName(), b.GetName())
 	})
 	return live
 }
 
+// allLive yields what Live returns, in no order.
+func (t *Table) allLive(now time.Time) iter.Seq[*peerpb.Member] {
+	return func(yield func(*peerpb.Member) bool) {
+		if !yield(t.self) {
+			return
+		}
+		for _, peer := range t.peers {
+			if t.alive(peer, now) && !yield(peer.member) {
+				return
+			}
+		}
+	}
+}
+
 // HomesHash returns a hash of the daemons that may be homes. While it stays the
 // same, so do the homes of all engines.
 func (t *Table) HomesHash(now time.Time) uint64 {
@@ -242,12 +260,10 @@
 // The list excluded names daemons to pass over. It returns nil if none is left.
 func (t *Table) HomeOf(engine, failureDomain string, excluded []string, now time.Time) *peerpb.Member {
 	var inside, outside []ranking.Candidate
-	byName := make(map[string]*peerpb.Member)
-	for _, member := range t.Live(now) {
+	for member := range t.allLive(now) {
 		if member.GetLeaving() || slices.Contains(excluded, member.GetName()) {
 			continue
 		}
-		byName[member.GetName()] = member
 		candidate := ranking.Candidate{Name: member.GetName(), Weight: 1}
 		if member.GetFailureDomain() == failureDomain {
 			inside = append(inside, candidate)
@@ -258,7 +274,7 @@
 	key := ranking.Hash("home", engine)
 	for _, candidates := range [][]ranking.Candidate{inside, outside} {
 		if len(candidates) > 0 {
-			return byName[ranking.Order(key, candidates)[0]]
+			return t.known(ranking.Top(key, candidates, 1)[0])
 		}
 	}
 	if !slices.Contains(excluded, t.self.GetName()) {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -23,6 +23,7 @@
 	d.loop.Do(func(state *control.State, _ time.Time) { state.Members.Leave() })
 	d.callers.TurnAway()
 	d.tellEveryone(ctx)
+	d.handOverDirectory(ctx)
 	wait(ctx, d.settings.Limits.StopDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		return fmt.Errorf("finish requests in progress: %w", err)
@@ -31,6 +32,7 @@
 		return fmt.Errorf("finish forwarded requests in progress: %w", err)
 	}
 	d.drainClaims()
+	d.handOverDirectory(ctx)
 	d.tellEveryone(ctx)
 	d.log.Info("stopped")
 	return nil
--- a/internal/integration/reuse_test.go
+++ b/internal/integration/reuse_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -164,6 +165,25 @@
 	mustFindWarm(t, served, f.daemons["d2"])
 }
 
+// TestPlannedStopHandsTheDirectoryOver stops the home of the chats' first engine,
+// with no time for the entries to move on as they do between running daemons.
+func TestPlannedStopHandsTheDirectoryOver(t *testing.T) {
+	f := newFleet(t)
+	f.describeSmallFleet()
+	f.addSmallEngines()
+	generation := f.publish()
+	stopping := f.addDaemon("d1", daemonOptions{failureDomain: "domain-a", extra: "limits:\n  stop_delay: 0s\n"})
+	f.addDaemon("d2", daemonOptions{failureDomain: "domain-b"})
+	f.awaitSettled(generation)
+	must.Eq(t, "d1", homeOf(t, f.daemons["d2"], "e2"))
+	served := spillChats(t, f)
+
+	stopping.signal(syscall.SIGTERM)
+	waitFor(t, settleLimit, "the daemon has stopped", stopping.hasExited)
+	delete(f.daemons, "d1")
+	mustFindWarm(t, served, f.daemons["d2"])
+}
+
 // successorName returns the name of a daemon that takes over an engine's home
 // from a daemon of the same failure domain.
 func successorName(engineName, home string) string {
