--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -76,18 +76,21 @@
 	records []*Record
 	streams map[string]*stream
 	running int
-	fault   Fault
-	report  targetapi.Load
-	reportT time.Time
+	// urgencies counts the running requests by their Priority header.
+	urgencies map[string]int
+	fault     Fault
+	report    targetapi.Load
+	reportT   time.Time
 }
 
 // New returns a stand-in.
 func New(config Config) *Server {
 	return &Server{
-		config:  config,
-		cache:   newPrefixCache(config.CacheTokens),
-		records: []*Record{},
-		streams: make(map[string]*stream),
+		config:    config,
+		cache:     newPrefixCache(config.CacheTokens),
+		records:   []*Record{},
+		streams:   make(map[string]*stream),
+		urgencies: make(map[string]int),
 	}
 }
 
@@ -177,6 +180,7 @@
 	running := newStream(record)
 	s.streams[id] = running
 	s.running++
+	s.urgencies[record.Priority]++
 	go s.generate(running, parsed)
 	return running, ""
 }
@@ -204,24 +208,32 @@
 		if running.isCancelled() {
 			return
 		}
-		time.Sleep(s.tokenTime())
+		time.Sleep(s.tokenTime(running.record.Priority))
 		running.add(textChunk(running.record, parsed.Model, token(running.record.Chat, n)))
 	}
 	running.add(finalChunk(running.record, parsed.Model, tokens))
 	running.add(targetapi.StreamDone)
 }
 
-// tokenTime is the time between tokens: twice as long at full load as when idle.
-func (s *Server) tokenTime() time.Duration {
+// tokenTime is the time between a request's tokens: twice as long at full load as
+// when idle, and up to twice as long again while more urgent requests run.
+func (s *Server) tokenTime(priority string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.config.TokenTime + s.config.TokenTime*time.Duration(s.running)/time.Duration(s.config.Capacity)
+	slowing := s.running
+	for urgency, count := range s.urgencies {
+		if urgency < priority { // "u=0" is the most urgent
+			slowing += count
+		}
+	}
+	return s.config.TokenTime + s.config.TokenTime*time.Duration(slowing)/time.Duration(s.config.Capacity)
 }
 
 func (s *Server) finish(running *stream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	s.urgencies[running.record.Priority]--
 	running.record.EndMS = time.Now().UnixMilli()
 	running.record.Cancelled = running.isCancelled()
 }
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -111,6 +111,9 @@
 func (s *Server) route(ctx context.Context, exchange *exchange, request entry.Request, sink *sink) *refusal.Refusal {
 	s.metrics.Request(request.Call.GetService())
 	trace, refused := s.router.Serve(ctx, request, sink)
+	if len(trace) > 0 {
+		exchange.last = trace[len(trace)-1]
+	}
 	s.log.Debug("served", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", trace)
 	return refused
 }
@@ -119,7 +122,7 @@
 func (s *Server) conclude(exchange *exchange, sink *sink, refused *refusal.Refusal) *refusal.Refusal {
 	if refused != nil && sink.begun {
 		s.metrics.Refused(refused.Reason)
-		s.log.Info("interrupted", "request", exchange.id, "reason", refused.Reason, "detail", refused.Detail)
+		s.logRefusal("interrupted", exchange, refused)
 		sink.interrupt(refused)
 		return nil
 	}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -116,6 +116,7 @@
 	r         *http.Request
 	snapshot  *control.Snapshot
 	workspace *environment.Workspace
+	last      route.Trace // the last try
 }
 
 // handle wraps a handler with what all requests need: an id, a document in
@@ -159,10 +160,27 @@
 // refuse answers with a refusal and counts it.
 func (s *Server) refuse(exchange *exchange, refused *refusal.Refusal) {
 	s.metrics.Refused(refused.Reason)
-	s.log.Info("refused", "request", exchange.id, "reason", refused.Reason, "outcome", refused.OutcomeText(), "detail", refused.Detail)
+	s.logRefusal("refused", exchange, refused)
 	refused.WriteHTTP(exchange.w, exchange.id)
 }
 
+// logRefusal logs why a request got no whole answer, and the daemon and engine
+// of its last try, if there was one.
+func (s *Server) logRefusal(what string, exchange *exchange, refused *refusal.Refusal) {
+	step := "check request"
+	if exchange.last.Engine != "" {
+		step = "route request"
+	}
+	s.log.Info(what,
+		"request", exchange.id,
+		"step", step,
+		"peer", exchange.last.Home,
+		"engine", exchange.last.Engine,
+		"reason", refused.Reason,
+		"outcome", refused.OutcomeText(),
+		"detail", refused.Detail)
+}
+
 // readBody reads a request's whole body within the limits.
 func (s *Server) readBody(exchange *exchange) ([]byte, *refusal.Refusal) {
 	controller := http.NewResponseController(exchange.w)
