Tell peers that nothing is in flight at the end of a planned stop

Cause: peers went on counting what a stopping daemon had told up to half a second earlier, as leftovers of a dead home; a returning chat was then sent away from its warm engine. Ruled out: a longer stop delay, which only hides it.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -33,6 +33,8 @@
 	}
 	d.drainClaims()
 	d.handOverDirectory(ctx)
+	// Nothing is in flight any more: peers must not count what they heard last.
+	d.loop.Do(func(*control.State, time.Time) { d.told = nil })
 	d.tellEveryone(ctx)
 	d.log.Info("stopped")
 	return nil
