--- /dev/null
+++ b/internal/coordination/placement/load.go
@@ -0,0 +1,25 @@
+package placement
+
+import "time"
+
+// reportLifetime is how long a target's own report of its load counts. Reports
+// come with answers, so a loaded target is heard of often.
+const reportLifetime = 2 * time.Second
+
+// load is what this daemon knows of one target's work.
+type load struct {
+	own      int // this daemon's requests in progress
+	others   int // those of all others, by the target's last report
+	reported time.Time
+	waiting  int
+}
+
+// estimate returns the requests that the target holds, as far as is known.
+func (l *load) estimate(now time.Time) float64 {
+	age := now.Sub(l.reported)
+	if age >= reportLifetime {
+		return float64(l.own)
+	}
+	fresh := 1 - float64(age)/float64(reportLifetime)
+	return float64(l.own) + float64(l.others)*fresh
+}
--- /dev/null
+++ b/internal/coordination/placement/placement.go
@@ -0,0 +1,304 @@
+// Package placement chooses the target of a request. It is a state machine
+// without I/O or clock.
+//
+// It answers two load patterns. Returning chats: rendezvous hashing over the
+// shared parts of a prompt sends a session to the same engine from every daemon
+// without a message, and moves only a new or lost engine's sessions. A hot
+// session or an uneven hash: an engine above the load bound passes requests to
+// the session's next engine, which fetches the prompt from the one that has it.
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hemlockknot/internal/coordination/roster"
+	"hemlockknot/internal/protocol/relay"
+	"hemlockknot/internal/state/fleet"
+)
+
+// Parameters of the load bound.
+const (
+	// boundFactor and boundSlack give the load, as a multiple of the service's
+	// mean and requests beside, above which an engine is passed over. The users'
+	// bound is 2 x the mean + 3; reports are late, so this leaves headroom.
+	boundFactor = 1.5
+	boundSlack  = 2.0
+	// localSlack is how many more requests than the least loaded target one of
+	// the own failure domain may hold and still be taken.
+	localSlack = 2.0
+	// settledAfter is how long an engine must be known until its sessions are
+	// taken to be warm there.
+	settledAfter = 30 * time.Second
+	// preferred is how many of a session's engines are considered in its order.
+	preferred = 4
+	// memoryLimit bounds the remembered dispatches, memoryLifetime their age.
+	memoryLimit    = 50_000
+	memoryLifetime = 10 * time.Minute
+)
+
+// Table holds the candidates of all services and their load. It is not safe for
+// concurrent use.
+type Table struct {
+	domain   string // this daemon's failure domain
+	services map[string][]*candidate
+	byID     map[string]*candidate
+	warm     map[dispatched]time.Time // sessions sent to engines by this daemon
+	started  time.Time
+}
+
+type candidate struct {
+	target *fleet.Target
+	seed   uint64
+	seen   time.Time
+	load   load
+}
+
+type dispatched struct {
+	session uint64
+	target  string
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Target *fleet.Target
+	// FetchFrom is the engine that is believed to hold more of the prompt; nil if
+	// there is none.
+	FetchFrom *fleet.Target
+	Load      float64 // estimated requests at the target
+	Mean      float64 // estimated mean of the service
+}
+
+// Query says what is to be placed.
+type Query struct {
+	Service string
+	Session uint64 // 0: the request has no session
+	// Excluded reports targets that are not to be chosen.
+	Excluded func(id string) bool
+	// Reachable reports targets from which an engine may fetch a prompt.
+	Reachable func(id string) bool
+}
+
+// NewTable returns a table without candidates.
+func NewTable(domain string, now time.Time) *Table {
+	return &Table{
+		domain:   domain,
+		services: make(map[string][]*candidate),
+		byID:     make(map[string]*candidate),
+		warm:     make(map[dispatched]time.Time),
+		started:  now,
+	}
+}
+
+// Session returns the key of the shared parts of a prompt: all but the last. A
+// prompt without shared parts has none.
+func Session(parts []relay.Part) uint64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return xxhash.Sum64String(parts[len(parts)-2].ID) | 1
+}
+
+// SetMembers replaces the candidates. What is known of those that stay is kept.
+func (t *Table) SetMembers(members []roster.Member) {
+	services := make(map[string][]*candidate)
+	byID := make(map[string]*candidate, len(members))
+	for _, member := range members {
+		known := t.byID[member.Target.ID]
+		if known == nil || !known.target.Same(member.Target) {
+			known = &candidate{seed: xxhash.Sum64String(member.Target.ID), seen: member.Seen}
+		}
+		known.target = member.Target
+		byID[member.Target.ID] = known
+		services[member.Target.Service] = append(services[member.Target.Service], known)
+	}
+	t.services = services
+	t.byID = byID
+}
+
+// Start notes that a request goes to a target.
+func (t *Table) Start(id string, session uint64, now time.Time) {
+	if known := t.byID[id]; known != nil {
+		known.load.own++
+	}
+	if session != 0 {
+		t.remember(dispatched{session, id}, now)
+	}
+}
+
+// End notes that a request has left a target.
+func (t *Table) End(id string) {
+	if known := t.byID[id]; known != nil && known.load.own > 0 {
+		known.load.own--
+	}
+}
+
+// Report takes in a target's own report. The daemon's own request, for which it
+// came, is among those that the target counts.
+func (t *Table) Report(id string, report relay.Load, now time.Time) {
+	known := t.byID[id]
+	if known == nil {
+		return
+	}
+	known.load.others = max(0, report.Running+report.Waiting-known.load.own)
+	known.load.waiting = report.Waiting
+	known.load.reported = now
+}
+
+// Choose returns where a request goes; its target is nil if there is none.
+func (t *Table) Choose(query Query, now time.Time) Choice {
+	candidates := t.services[query.Service]
+	if query.Session == 0 {
+		return t.leastLoaded(candidates, query, now)
+	}
+	return t.bySession(candidates, query, now)
+}
+
+// leastLoaded prefers the own failure domain among targets of similar load.
+func (t *Table) leastLoaded(candidates []*candidate, query Query, now time.Time) Choice {
+	var best *candidate
+	bestCost, sum, count := 0.0, 0.0, 0
+	for _, known := range candidates {
+		if known.target.Draining {
+			continue
+		}
+		estimate := known.load.estimate(now)
+		sum += estimate
+		count++
+		if query.Excluded(known.target.ID) {
+			continue
+		}
+		cost := estimate
+		if known.target.FailureDomain != t.domain {
+			cost += localSlack
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = known, cost
+		}
+	}
+	return choice(best, nil, sum, count, now)
+}
+
+// ranked is a candidate and its rank for a session.
+type ranked struct {
+	candidate *candidate
+	score     uint64
+}
+
+// bySession walks a session's engines in the order of their rank and takes the
+// first below the load bound; above it on all, the least loaded engine.
+func (t *Table) bySession(candidates []*candidate, query Query, now time.Time) Choice {
+	var order [preferred]ranked // of those that may be chosen
+	var home, older ranked      // first of all that hold prompts; first settled
+	var idlest *candidate
+	idlestLoad, sum, count := 0.0, 0.0, 0
+	for _, known := range candidates {
+		next := ranked{known, mix(query.Session ^ known.seed)}
+		if query.Reachable(known.target.ID) {
+			home = better(home, next)
+			if t.settled(known, now) {
+				older = better(older, next)
+			}
+		}
+		if known.target.Draining {
+			continue
+		}
+		estimate := known.load.estimate(now)
+		sum += estimate
+		count++
+		if query.Excluded(known.target.ID) {
+			continue
+		}
+		insert(&order, next)
+		if idlest == nil || estimate < idlestLoad {
+			idlest, idlestLoad = known, estimate
+		}
+	}
+	if idlest == nil {
+		return Choice{}
+	}
+	chosen := idlest
+	limit := boundFactor*sum/float64(count) + boundSlack
+	for _, next := range order {
+		if next.candidate != nil && next.candidate.load.estimate(now) < limit {
+			chosen = next.candidate
+			break
+		}
+	}
+	return choice(chosen, t.source(chosen, home.candidate, older.candidate, query.Session), sum, count, now)
+}
+
+// source returns the engine from which the chosen one should fetch the prompt:
+// the session's own engine, or if that is the chosen one and is new, the one
+// that was the session's before.
+func (t *Table) source(chosen, home, older *candidate, session uint64) *candidate {
+	if _, sent := t.warm[dispatched{session, chosen.target.ID}]; sent {
+		return nil
+	}
+	if home == chosen {
+		home = older
+	}
+	if home == chosen {
+		return nil
+	}
+	return home
+}
+
+// settled reports whether an engine has been known for long, or since this
+// daemon has started.
+func (t *Table) settled(known *candidate, now time.Time) bool {
+	return now.Sub(known.seen) >= settledAfter || known.seen.Sub(t.started) < settledAfter/10
+}
+
+func choice(chosen, source *candidate, sum float64, count int, now time.Time) Choice {
+	if chosen == nil {
+		return Choice{}
+	}
+	made := Choice{Target: chosen.target, Load: chosen.load.estimate(now), Mean: sum / float64(count)}
+	if source != nil {
+		made.FetchFrom = source.target
+	}
+	return made
+}
+
+func better(a, b ranked) ranked {
+	if a.candidate == nil || b.score > a.score {
+		return b
+	}
+	return a
+}
+
+// insert keeps the highest scores in falling order.
+func insert(order *[preferred]ranked, next ranked) {
+	for i := range order {
+		if order[i].candidate == nil {
+			order[i] = next
+			return
+		}
+		if next.score > order[i].score {
+			order[i], next = next, order[i]
+		}
+	}
+}
+
+func (t *Table) remember(key dispatched, now time.Time) {
+	if len(t.warm) >= memoryLimit {
+		for old, at := range t.warm {
+			if now.Sub(at) > memoryLifetime || len(t.warm) >= memoryLimit {
+				delete(t.warm, old)
+			}
+		}
+	}
+	t.warm[key] = now
+}
+
+// mix is the finalizer of splitmix64: it spreads a change of any bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hemlockknot/internal/coordination/attempt"
+	"hemlockknot/internal/coordination/outlier"
+	"hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/coordination/roster"
+	"hemlockknot/internal/protocol/relay"
+	"hemlockknot/internal/state/fleet"
+)
+
+// tickInterval is how often time alone changes what is believed.
+const tickInterval = 200 * time.Millisecond
+
+// control owns the state machines of coordination. One goroutine runs every
+// event on them; requests are served by others.
+type control struct {
+	events chan func()
+	done   <-chan struct{}
+
+	roster  *roster.Roster
+	targets *placement.Table
+	outlier *outlier.Tracker
+	budgets map[string]*attempt.Budget
+	policy  budgetPolicy
+	loaded  bool // the list of targets has been read
+}
+
+// budgetPolicy is the users' bound of retries.
+type budgetPolicy struct {
+	ratio  float64
+	extra  float64 // of all daemons together
+	window time.Duration
+	shares func() int // daemons that share the extra
+}
+
+func newControl(domain string, policy budgetPolicy) *control {
+	return &control{
+		events:  make(chan func()),
+		roster:  roster.New(),
+		targets: placement.NewTable(domain, time.Now()),
+		outlier: outlier.New(),
+		budgets: make(map[string]*attempt.Budget),
+		policy:  policy,
+	}
+}
+
+// run executes events until the context ends.
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			event()
+		case now := <-ticker.C:
+			if c.roster.Expire(now) {
+				c.membersChanged()
+			}
+		}
+	}
+}
+
+// do runs an event on the control goroutine and waits for its end. After the
+// control goroutine has ended nothing is run.
+func (c *control) do(event func()) {
+	finished := make(chan struct{})
+	select {
+	case c.events <- func() { event(); close(finished) }:
+		<-finished
+	case <-c.done:
+	}
+}
+
+func (c *control) membersChanged() {
+	members := c.roster.Members()
+	c.targets.SetMembers(members)
+	listed := make(map[string]bool, len(members))
+	for _, member := range members {
+		listed[member.Target.ID] = true
+	}
+	c.outlier.Forget(func(id string) bool { return listed[id] })
+}
+
+// replaceTargets takes in a whole list of targets.
+func (c *control) replaceTargets(targets []*fleet.Target, returned bool) {
+	c.do(func() {
+		now := time.Now()
+		if returned {
+			c.roster.StoreReturned(now)
+		}
+		c.roster.Replace(targets, now)
+		c.loaded = true
+		c.membersChanged()
+	})
+}
+
+// changeTargets takes in changes of single entries.
+func (c *control) changeTargets(put []*fleet.Target, removed []string, returned bool) {
+	c.do(func() {
+		now := time.Now()
+		if returned {
+			c.roster.StoreReturned(now)
+		}
+		for _, target := range put {
+			c.roster.Put(target, now)
+		}
+		for _, id := range removed {
+			c.roster.Remove(id, now)
+		}
+		c.membersChanged()
+	})
+}
+
+// ready reports whether targets are known.
+func (c *control) ready() bool {
+	loaded := false
+	c.do(func() { loaded = c.loaded })
+	return loaded
+}
+
+// request counts a request of a service.
+func (c *control) request(service string) {
+	c.do(func() { c.budget(service).Request(c.extra(), time.Now()) })
+}
+
+// spendRetry takes a retry from a service's budget.
+func (c *control) spendRetry(service string) bool {
+	granted := false
+	c.do(func() { granted = c.budget(service).Spend(c.extra(), time.Now()) })
+	return granted
+}
+
+func (c *control) budget(service string) *attempt.Budget {
+	known := c.budgets[service]
+	if known == nil {
+		known = attempt.NewBudget(c.policy.ratio, c.policy.window)
+		c.budgets[service] = known
+	}
+	return known
+}
+
+func (c *control) extra() float64 { return c.policy.extra / float64(max(1, c.policy.shares())) }
+
+// choose picks the target of a try and counts the request there.
+func (c *control) choose(service string, session uint64, tried map[string]bool) placement.Choice {
+	var choice placement.Choice
+	c.do(func() {
+		now := time.Now()
+		query := placement.Query{
+			Service:   service,
+			Session:   session,
+			Excluded:  func(id string) bool { return tried[id] || c.outlier.Ejected(id, now) },
+			Reachable: func(id string) bool { return !c.outlier.Ejected(id, now) },
+		}
+		choice = c.targets.Choose(query, now)
+		if choice.Target == nil {
+			// All are ejected: any that was not tried is better than none.
+			query.Excluded = func(id string) bool { return tried[id] }
+			choice = c.targets.Choose(query, now)
+		}
+		if choice.Target != nil {
+			c.outlier.Chosen(choice.Target.ID, now)
+			c.targets.Start(choice.Target.ID, session, now)
+		}
+	})
+	return choice
+}
+
+// finish takes in how a try ended, and reports whether its target is left alone
+// from now on.
+func (c *control) finish(target *fleet.Target, outcome outlier.Outcome, known bool) bool {
+	ejected := false
+	c.do(func() {
+		c.targets.End(target.ID)
+		if !known {
+			return
+		}
+		now := time.Now()
+		if outcome == outlier.Served {
+			c.outlier.Recovered(target.ID)
+		}
+		ejected = c.outlier.Note(target.ID, outcome, c.commonFailures(target.Service, now), now)
+	})
+	return ejected
+}
+
+// commonFailures returns the share of exchanges that fail at a service.
+func (c *control) commonFailures(service string, now time.Time) float64 {
+	failed, all := 0.0, 0.0
+	for _, member := range c.roster.Members() {
+		if member.Target.Service != service {
+			continue
+		}
+		f, a := c.outlier.FailureShare(member.Target.ID, now)
+		failed += f
+		all += a
+	}
+	if all == 0 {
+		return 0
+	}
+	return failed / all
+}
+
+// report takes in a target's own load.
+func (c *control) report(id string, load *relay.Load) {
+	if load != nil {
+		c.do(func() { c.targets.Report(id, *load, time.Now()) })
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,166 @@
+// Package gateway is the daemon on the users' platform: callers' requests go
+// straight to the targets that the platform lists, by decisions that each daemon
+// takes from the same lists.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hemlockknot/internal/transport/exchange"
+	"hemlockknot/platform"
+)
+
+// logger takes structured lines and never blocks.
+type logger interface {
+	Info(message string, fields ...any)
+	Warn(message string, fields ...any)
+}
+
+// Gateway is one daemon.
+type Gateway struct {
+	settings platform.Settings
+	log      logger
+	metrics  *counters
+	store    *platform.Store
+	document *inForce
+	control  *control
+	pool     *exchange.Pool
+	callers  *callerServer
+	stopping atomic.Bool
+}
+
+// New returns a daemon; Run starts it.
+func New(settings platform.Settings, log logger) *Gateway {
+	g := &Gateway{
+		settings: settings,
+		log:      log,
+		metrics:  newCounters(),
+		store:    platform.NewStore(settings.StoreAddress),
+		document: newInForce(),
+		pool:     exchange.NewPool(),
+	}
+	g.control = newControl(settings.FailureDomain, budgetPolicy{
+		ratio:  settings.RetryRatio,
+		extra:  settings.RetryExtra,
+		window: settings.RetryWindow,
+		shares: g.daemons,
+	})
+	g.store.Called = g.metrics.storeCall
+	g.pool.Dialed = g.metrics.dialed
+	g.callers = newCallerServer(http.HandlerFunc(g.serve), g.idleTimeout)
+	return g
+}
+
+// assumedDaemons share the retry budget as long as no peer is known.
+const assumedDaemons = 8
+
+// daemons returns how many daemons share the fleet's budgets.
+func (g *Gateway) daemons() int { return assumedDaemons }
+
+func (g *Gateway) documentChanged(int64) {}
+
+// Run serves until the context ends, then stops gracefully. Metrics are served
+// at metricsAddress, if there is one.
+func (g *Gateway) Run(ctx context.Context, metricsAddress string) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g.control.done = background.Done()
+	callers, err := listen("callers", g.settings.CallersAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := listen("readiness checks", g.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { g.control.run(background); return nil })
+	group.Go(func() error { g.pool.Run(background); return nil })
+	group.Go(func() error { g.watchDocument(background); return nil })
+	group.Go(func() error { g.watchTargets(background); return nil })
+	group.Go(func() error { return serveUntil(background, g.readyHandler(), ready) })
+	group.Go(func() error { return g.callers.serve(callers) })
+	if metricsAddress != "" {
+		g.serveMetrics(background, group, metricsAddress)
+	}
+	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain, "callers", g.settings.CallersAddress)
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			g.stop()
+		case <-background.Done():
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func listen(purpose, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s at %s: %w", purpose, address, err)
+	}
+	return listener, nil
+}
+
+// serveMetrics serves the counters. Without them requests are served all the
+// same.
+func (g *Gateway) serveMetrics(ctx context.Context, group *errgroup.Group, address string) {
+	listener, err := listen("metrics", address)
+	if err != nil {
+		g.log.Warn("metrics are not served", "error", err)
+		return
+	}
+	group.Go(func() error { return serveUntil(ctx, g.metrics.handler(), listener) })
+}
+
+// sideTimeout bounds calls that are not callers' requests.
+const sideTimeout = 5 * time.Second
+
+// serveUntil serves until the context ends.
+func serveUntil(ctx context.Context, handler http.Handler, listener net.Listener) error {
+	server := &http.Server{Handler: handler, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
+
+// readyHandler answers the platform's question whether the daemon takes
+// connections.
+func (g *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.document.current() != nil && g.control.ready()
+}
+
+// defaultIdleTimeout holds until a configuration says otherwise.
+const defaultIdleTimeout = 15 * time.Second
+
+func (g *Gateway) idleTimeout() time.Duration {
+	table := g.document.current()
+	if table == nil || table.Document.Limits.IdleTimeout <= 0 {
+		return defaultIdleTimeout
+	}
+	return table.Document.Limits.IdleTimeout
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,342 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"hemlockknot/internal/coordination/attempt"
+	"hemlockknot/internal/coordination/outlier"
+	"hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/protocol/events"
+	"hemlockknot/internal/protocol/relay"
+	"hemlockknot/internal/transport/exchange"
+	"hemlockknot/platform"
+)
+
+const (
+	// maxAnswer bounds an answer that is no stream, in bytes.
+	maxAnswer = 8 << 20
+	// timeoutSlack is how much later than the request's deadline a target's own
+	// answer may come.
+	timeoutSlack = 50 * time.Millisecond
+)
+
+// journey is a request's way through its tries.
+type journey struct {
+	*job
+	state   *attempt.Request
+	session uint64
+	tried   map[string]bool
+	choice  placement.Choice
+	tries   int
+
+	lastEvent int64     // id of the last event that the caller has
+	firstByte time.Time // when the first byte of the answer went out
+	failure   *whole    // a failed answer of a target, kept in case nothing better comes
+	reason    string    // why the last try was not the final one
+}
+
+// whole is an answer that has been read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// relay sends a request to targets until it has its final answer.
+func (g *Gateway) relay(j *job) {
+	t := &journey{
+		job:     j,
+		session: placement.Session(j.call.Parts),
+		tried:   make(map[string]bool),
+		state: attempt.New(attempt.Policy{
+			Repeatable:  j.route.Repeatable(),
+			Resumable:   j.route.Resumable,
+			MaxAttempts: j.route.MaxAttempts,
+		}),
+	}
+	t.lastEvent = j.call.LastEventID
+	for {
+		event := g.try(t)
+		if t.r.Context().Err() != nil {
+			g.finished(t, "caller_left")
+			return
+		}
+		verdict := t.state.Decide(event, time.Until(t.deadline), func() bool { return g.control.spendRetry(t.service) })
+		if verdict != attempt.Retry && verdict != attempt.Resume {
+			g.conclude(t, verdict, event)
+			return
+		}
+		g.metrics.retried(t.reason)
+		g.log.Info("tries again", "request", t.call.ID, "reason", t.reason, "target", t.choice.Target.ID, "after_event", t.lastEvent)
+	}
+}
+
+// try sends the request to one target. The whole answer, or a stream, goes to
+// the caller at once if it is final.
+func (g *Gateway) try(t *journey) attempt.Event {
+	left := time.Until(t.deadline)
+	if left <= 0 {
+		t.reason = "out_of_time"
+		return attempt.OutOfTime
+	}
+	choice := g.control.choose(t.service, t.session, t.tried)
+	if choice.Target == nil {
+		t.reason = "no_target"
+		return attempt.NoTarget
+	}
+	t.choice = choice
+	t.tries++
+	t.tried[choice.Target.ID] = true
+	answer, failed := g.pool.Do(t.r.Context(), g.request(t, left))
+	if failed != nil {
+		return g.tryFailed(t, failed)
+	}
+	defer answer.Close()
+	said := platform.ReadAnswer(answer.Header)
+	g.control.report(choice.Target.ID, said.Load)
+	if refusedByTarget(answer.Status, said) {
+		t.reason = "refused_by_target"
+		g.note(t, outlier.Busy, true)
+		return attempt.Refused
+	}
+	if isEventStream(answer) {
+		return g.stream(t, answer)
+	}
+	return g.plain(t, answer)
+}
+
+func (g *Gateway) request(t *journey, left time.Duration) exchange.Request {
+	dispatch := relay.Dispatch{
+		Target:   t.choice.Target.ID,
+		Patience: left,
+		Priority: t.route.Priority,
+	}
+	if t.workspace != nil {
+		dispatch.Workspace = t.workspace.Name
+		if t.workspace.Ranked {
+			dispatch.Priority = t.workspace.Priority
+		}
+	}
+	if t.choice.FetchFrom != nil {
+		dispatch.FetchFrom = t.choice.FetchFrom.Address
+	}
+	if t.lastEvent > t.call.LastEventID {
+		dispatch.LastEventID = t.lastEvent
+	}
+	return exchange.Request{
+		Address:      t.choice.Target.Address,
+		Method:       t.r.Method,
+		URI:          t.r.RequestURI,
+		Host:         t.r.Host,
+		Header:       platform.ForwardHeader(t.r.Header, t.call, dispatch),
+		Body:         t.body,
+		Fresh:        !t.route.Repeatable(),
+		AnswerWithin: g.answerWithin(t, left),
+		Mine:         func(header http.Header) bool { return platform.ReadAnswer(header).RequestID == t.call.ID },
+		KeepFor:      func(header http.Header) time.Duration { return platform.ReadAnswer(header).IdleLimit },
+	}
+}
+
+// answerWithin returns how long a target may take to begin its answer.
+func (g *Gateway) answerWithin(t *journey, left time.Duration) time.Duration {
+	return left + timeoutSlack
+}
+
+// refusedByTarget reports whether a target says that it has not run the request.
+// A success contradicts that.
+func refusedByTarget(status int, said relay.Answer) bool {
+	return said.NotRun && status >= http.StatusBadRequest || status == http.StatusMisdirectedRequest && !said.Signed
+}
+
+func isEventStream(answer *exchange.Answer) bool {
+	return answer.Status == http.StatusOK && answer.Header.Get("Content-Type") == "text/event-stream"
+}
+
+// note takes in how a try ended.
+func (g *Gateway) note(t *journey, outcome outlier.Outcome, known bool) {
+	if g.control.finish(t.choice.Target, outcome, known) {
+		g.metrics.ejected()
+		g.log.Warn("target left alone", "target", t.choice.Target.ID, "request", t.call.ID, "reason", t.reason)
+	}
+}
+
+func (g *Gateway) tryFailed(t *journey, failed *exchange.Error) attempt.Event {
+	left := t.r.Context().Err() != nil
+	switch {
+	case !failed.Sent:
+		t.reason = "unreachable"
+		g.note(t, outlier.Unreachable, !left)
+		return attempt.NotSent
+	case failed.Silent:
+		t.reason = "silent"
+		g.note(t, outlier.Silent, !left)
+	default:
+		t.reason = "broken"
+		g.note(t, outlier.Broken, !left)
+	}
+	if !left {
+		g.log.Info("try failed", "request", t.call.ID, "target", t.choice.Target.ID, "reason", t.reason, "error", failed)
+	}
+	if time.Until(t.deadline) <= 0 {
+		return attempt.OutOfTime
+	}
+	return attempt.Lost
+}
+
+// plain reads an answer that is no stream, to its end before any of it goes on.
+func (g *Gateway) plain(t *journey, answer *exchange.Answer) attempt.Event {
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		t.reason = "incomplete_answer"
+		g.note(t, outlier.Broken, t.r.Context().Err() == nil)
+		return attempt.Lost
+	}
+	read := &whole{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		t.reason = "failed_at_target"
+		t.failure = read
+		g.note(t, outlier.Failed, true)
+		return attempt.Failure
+	}
+	g.note(t, outlier.Served, true)
+	g.deliver(t, read)
+	return attempt.Answered
+}
+
+// deliver sends a target's whole answer to the caller.
+func (g *Gateway) deliver(t *journey, answer *whole) {
+	copyHeader(t.w.Header(), platform.AnswerHeader(answer.header))
+	t.firstByte = time.Now()
+	t.w.WriteHeader(answer.status)
+	_, _ = t.w.Write(answer.body)
+}
+
+// copyHeader sets the headers of an answer, and keeps net/http from adding a
+// type of content that the target did not name.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, found := from["Content-Type"]; !found {
+		to["Content-Type"] = nil
+	}
+}
+
+// stream passes events on as they come, whole ones only.
+func (g *Gateway) stream(t *journey, answer *exchange.Answer) attempt.Event {
+	reader := events.NewReader(answer)
+	for {
+		answer.Within(g.pauseWithin(t))
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return g.streamEnded(t, answer)
+		}
+		if err != nil {
+			return g.streamBroken(t, err)
+		}
+		if event.ID != 0 && event.ID <= t.lastEvent {
+			continue // the caller has it
+		}
+		if !g.pass(t, answer, event, reader.Buffered()) {
+			g.note(t, outlier.Served, false)
+			return attempt.Answered
+		}
+	}
+}
+
+// pauseWithin returns how long the next event may take.
+func (g *Gateway) pauseWithin(t *journey) time.Duration {
+	return time.Until(t.deadline) + timeoutSlack
+}
+
+// pass sends one event to the caller; the first one sends the headers before it.
+func (g *Gateway) pass(t *journey, answer *exchange.Answer, event events.Event, more bool) bool {
+	g.begin(t, answer)
+	if _, err := t.w.Write(event.Bytes); err != nil {
+		return false
+	}
+	t.lastEvent = max(t.lastEvent, event.ID)
+	if more {
+		return true
+	}
+	return http.NewResponseController(t.w).Flush() == nil
+}
+
+// begin sends the headers of a stream. They are those of its first target.
+func (g *Gateway) begin(t *journey, answer *exchange.Answer) {
+	if !t.firstByte.IsZero() {
+		return
+	}
+	t.firstByte = time.Now()
+	copyHeader(t.w.Header(), platform.AnswerHeader(answer.Header))
+	t.w.WriteHeader(answer.Status)
+	t.state.Began()
+}
+
+func (g *Gateway) streamEnded(t *journey, answer *exchange.Answer) attempt.Event {
+	g.begin(t, answer)
+	g.note(t, outlier.Served, true)
+	return attempt.Answered
+}
+
+func (g *Gateway) streamBroken(t *journey, err error) attempt.Event {
+	left := t.r.Context().Err() != nil
+	t.reason = "stream_broken"
+	g.note(t, outlier.Broken, !left)
+	if !left {
+		g.log.Info("stream broke off", "request", t.call.ID, "target", t.choice.Target.ID, "after_event", t.lastEvent, "error", err)
+	}
+	if t.firstByte.IsZero() {
+		return attempt.Lost
+	}
+	return attempt.Interrupted
+}
+
+// conclude gives the request its final answer.
+func (g *Gateway) conclude(t *journey, verdict attempt.Verdict, event attempt.Event) {
+	result := "delivered"
+	switch {
+	case verdict == attempt.Abort:
+		g.finished(t, "aborted")
+		panic(http.ErrAbortHandler) // closes the connection in mid-answer
+	case verdict == attempt.Deliver && event == attempt.Answered:
+	case t.failure != nil && !errors.Is(t.r.Context().Err(), context.Canceled):
+		result = "failure_delivered"
+		g.deliver(t, t.failure)
+	case verdict == attempt.NotRun:
+		result = "not_run"
+		g.refuse(t.job, t.reason)
+	case verdict == attempt.Timeout:
+		result = "timed_out"
+		g.answer(t.job, http.StatusGatewayTimeout, "may have run: out of time", 0)
+	default:
+		result = "unknown"
+		g.answer(t.job, http.StatusBadGateway, "may have run: "+t.reason, 0)
+	}
+	g.finished(t, result)
+}
+
+// finished writes the line and the counts of a request that has ended.
+func (g *Gateway) finished(t *journey, result string) {
+	var firstByte time.Duration
+	if !t.firstByte.IsZero() {
+		firstByte = t.firstByte.Sub(t.arrived)
+	}
+	g.metrics.answered(result, firstByte)
+	fields := []any{
+		"request", t.call.ID, "result", result, "route", t.route.Name, "service", t.service, "version", t.version,
+		"tries", t.tries, "first_byte_ms", firstByte.Milliseconds(), "total_ms", time.Since(t.arrived).Milliseconds(),
+	}
+	if t.choice.Target != nil {
+		fields = append(fields, "target", t.choice.Target.ID, "load", t.choice.Load, "mean_load", t.choice.Mean, "fetched", t.choice.FetchFrom != nil)
+	}
+	if result == "delivered" {
+		g.log.Info("request", fields...)
+		return
+	}
+	g.log.Warn("request", append(fields, "reason", t.reason)...)
+}
