Count a request lost at its deadline as run; ask a silent store briefly

Cause: (REFUSED) a try lost at the deadline was judged as out of time before it counted as sent, so it was answered as not run. (CONFIG) a watch that began in an outage waited for its whole time after the store was back. Ruled out: a stale list (the daemon had made none).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -181,9 +181,6 @@
 	if !left {
 		g.log.Info("try failed", "request", t.call.ID, "target", t.choice.Target.ID, "reason", t.reason, "error", failed)
 	}
-	if time.Until(t.deadline) <= 0 {
-		return attempt.OutOfTime
-	}
 	return attempt.Lost
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -15,6 +15,9 @@
 	// watchWait is how long one watch waits at the store. It bounds how long a
 	// connection that went silent is believed.
 	watchWait = 2500 * time.Millisecond
+	// probeWait is the same after a failed call: until the store has answered, a
+	// long silence would say nothing.
+	probeWait = 50 * time.Millisecond
 	// Pauses after a failed call, doubled each time.
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
@@ -51,7 +54,7 @@
 // follow watches until a list is needed again.
 func (w *watcher) follow(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
-		changes, next, err := w.store.Watch(ctx, w.kind, revision, watchWait)
+		changes, next, err := w.store.Watch(ctx, w.kind, revision, w.wait())
 		if errors.Is(err, platform.ErrHistoryGone) {
 			w.log.Warn("history of the store is gone, listing again", "kind", w.kind, "revision", revision)
 			return
@@ -68,6 +71,14 @@
 	}
 }
 
+// wait returns how long the next watch may wait at the store.
+func (w *watcher) wait() time.Duration {
+	if w.failures > 0 {
+		return probeWait
+	}
+	return watchWait
+}
+
 // failed notes a failed call and waits before the next.
 func (w *watcher) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
