Fetch prompts from where this daemon last sent the session or its beginning

Cause: a session's first arrival at an engine read the generic beginning again, and the source of a move was guessed from ranks alone.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -33,9 +33,9 @@
 	settledAfter = 30 * time.Second
 	// preferred is how many of a session's engines are considered in its order.
 	preferred = 4
-	// memoryLimit bounds the remembered dispatches, memoryLifetime their age.
-	memoryLimit    = 50_000
-	memoryLifetime = 10 * time.Minute
+	// memoryLimit bounds the remembered dispatches. Forgetting them costs fetches
+	// of what an engine has already.
+	memoryLimit = 50_000
 )
 
 // Table holds the candidates of all services and their load. It is not safe for
@@ -45,6 +45,7 @@
 	services map[string][]*candidate
 	byID     map[string]*candidate
 	warm     map[dispatched]time.Time // sessions sent to engines by this daemon
+	last     map[string]*candidate    // engine that this daemon last sent each part to
 	started  time.Time
 }
 
@@ -74,6 +75,7 @@
 type Query struct {
 	Service string
 	Session uint64 // 0: the request has no session
+	Parts   []relay.Part
 	// Excluded reports targets that are not to be chosen.
 	Excluded func(id string) bool
 	// Reachable reports targets from which an engine may fetch a prompt.
@@ -87,6 +89,7 @@
 		services: make(map[string][]*candidate),
 		byID:     make(map[string]*candidate),
 		warm:     make(map[dispatched]time.Time),
+		last:     make(map[string]*candidate),
 		started:  now,
 	}
 }
@@ -118,12 +121,18 @@
 }
 
 // Start notes that a request goes to a target.
-func (t *Table) Start(id string, session uint64, now time.Time) {
-	if known := t.byID[id]; known != nil {
-		known.load.own++
+func (t *Table) Start(id string, query Query, now time.Time) {
+	known := t.byID[id]
+	if known == nil {
+		return
 	}
-	if session != 0 {
-		t.remember(dispatched{session, id}, now)
+	known.load.own++
+	if query.Session == 0 {
+		return
+	}
+	t.remember(dispatched{query.Session, id}, now)
+	for _, part := range query.Parts[:len(query.Parts)-1] {
+		t.last[part.ID] = known
 	}
 }
 
@@ -226,23 +235,43 @@
 			break
 		}
 	}
-	return choice(chosen, t.source(chosen, home.candidate, older.candidate, query.Session), sum, count, now)
+	return choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, now)
 }
 
-// source returns the engine from which the chosen one should fetch the prompt:
-// the session's own engine, or if that is the chosen one and is new, the one
-// that was the session's before.
-func (t *Table) source(chosen, home, older *candidate, session uint64) *candidate {
-	if _, sent := t.warm[dispatched{session, chosen.target.ID}]; sent {
+// source returns the engine from which the chosen one should fetch what it lacks
+// of the prompt: the engine to which this daemon last sent the session, else the
+// session's own engine, else the one that was so before a new one came, else one
+// that has the beginning of the prompt.
+func (t *Table) source(chosen, home, older *candidate, query Query) *candidate {
+	if _, sent := t.warm[dispatched{query.Session, chosen.target.ID}]; sent {
 		return nil
 	}
-	if home == chosen {
-		home = older
+	shared := query.Parts[:len(query.Parts)-1]
+	if last := t.lastWith(shared[len(shared)-1], query); last != nil && last != chosen {
+		return last
+	}
+	if home != nil && home != chosen {
+		return home
 	}
-	if home == chosen {
+	if older != nil && older != chosen {
+		return older
+	}
+	for i := len(shared) - 2; i >= 0; i-- {
+		if last := t.lastWith(shared[i], query); last != nil && last != chosen {
+			return last
+		}
+	}
+	return nil
+}
+
+// lastWith returns the engine that this daemon last sent a part to, if it is
+// still there.
+func (t *Table) lastWith(part relay.Part, query Query) *candidate {
+	last := t.last[part.ID]
+	if last == nil || t.byID[last.target.ID] != last || !query.Reachable(last.target.ID) {
 		return nil
 	}
-	return home
+	return last
 }
 
 // settled reports whether an engine has been known for long, or since this
@@ -284,11 +313,8 @@
 
 func (t *Table) remember(key dispatched, now time.Time) {
 	if len(t.warm) >= memoryLimit {
-		for old, at := range t.warm {
-			if now.Sub(at) > memoryLifetime || len(t.warm) >= memoryLimit {
-				delete(t.warm, old)
-			}
-		}
+		clear(t.warm)
+		clear(t.last)
 	}
 	t.warm[key] = now
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -148,13 +148,14 @@
 func (c *control) extra() float64 { return c.policy.extra / float64(max(1, c.policy.shares())) }
 
 // choose picks the target of a try and counts the request there.
-func (c *control) choose(service string, session uint64, tried map[string]bool) placement.Choice {
+func (c *control) choose(service string, parts []relay.Part, tried map[string]bool) placement.Choice {
 	var choice placement.Choice
 	c.do(func() {
 		now := time.Now()
 		query := placement.Query{
 			Service:   service,
-			Session:   session,
+			Session:   placement.Session(parts),
+			Parts:     parts,
 			Excluded:  func(id string) bool { return tried[id] || c.outlier.Ejected(id, now) },
 			Reachable: func(id string) bool { return !c.outlier.Ejected(id, now) },
 		}
@@ -166,7 +167,7 @@
 		}
 		if choice.Target != nil {
 			c.outlier.Chosen(choice.Target.ID, now)
-			c.targets.Start(choice.Target.ID, session, now)
+			c.targets.Start(choice.Target.ID, query, now)
 		}
 	})
 	return choice
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,11 +27,10 @@
 // journey is a request's way through its tries.
 type journey struct {
 	*job
-	state   *attempt.Request
-	session uint64
-	tried   map[string]bool
-	choice  placement.Choice
-	tries   int
+	state  *attempt.Request
+	tried  map[string]bool
+	choice placement.Choice
+	tries  int
 
 	lastEvent int64     // id of the last event that the caller has
 	firstByte time.Time // when the first byte of the answer went out
@@ -49,9 +48,8 @@
 // relay sends a request to targets until it has its final answer.
 func (g *Gateway) relay(j *job) {
 	t := &journey{
-		job:     j,
-		session: placement.Session(j.call.Parts),
-		tried:   make(map[string]bool),
+		job:   j,
+		tried: make(map[string]bool),
 		state: attempt.New(attempt.Policy{
 			Repeatable:  j.route.Repeatable(),
 			Resumable:   j.route.Resumable,
@@ -83,7 +81,7 @@
 		t.reason = "out_of_time"
 		return attempt.OutOfTime
 	}
-	choice := g.control.choose(t.service, t.session, t.tried)
+	choice := g.control.choose(t.service, t.call.Parts, t.tried)
 	if choice.Target == nil {
 		t.reason = "no_target"
 		return attempt.NoTarget
