Take long silence for a failure where another target may be tried

Cause: streams that may go on and repeatable requests waited at a silent target until the caller left.

--- a/internal/coordination/attempt/attempt.go
+++ b/internal/coordination/attempt/attempt.go
@@ -95,6 +95,12 @@
 	return r.end(event)
 }
 
+// AnotherAfterThis reports whether the request may go to another target if the
+// one that it is at now does not answer.
+func (r *Request) AnotherAfterThis() bool {
+	return r.policy.Repeatable && r.sends+1 < r.policy.MaxAttempts
+}
+
 // sendsLeft reports whether the request may be sent to another target.
 func (r *Request) sendsLeft() bool {
 	if r.sends >= r.policy.MaxAttempts {
--- a/internal/coordination/outlier/outlier.go
+++ b/internal/coordination/outlier/outlier.go
@@ -30,6 +30,8 @@
 	window = 4 * time.Second
 	// minFailures in the window eject a target that still answers.
 	minFailures = 4
+	// minSilences in a row eject a target: a single answer may have been lost.
+	minSilences = 2
 	// maxShare of exchanges may fail before a target counts as failing, beside
 	// the share that fails at all targets of the service.
 	maxShare = 0.25
@@ -44,6 +46,7 @@
 	ejectedUntil time.Time
 	ejection     time.Duration // of the last one
 	lastFailure  time.Time
+	silences     int  // silent or unreachable in a row
 	trial        bool // one request is trying the target after an ejection
 	trialSince   time.Time
 	served       decaying
@@ -75,6 +78,7 @@
 	switch outcome {
 	case Served, Busy:
 		known.served.add(1, now)
+		known.silences = 0
 		if now.Sub(known.lastFailure) > forgetAfter {
 			known.ejection = 0
 		}
@@ -88,6 +92,11 @@
 		return known.ejectIfFailing(common, now)
 	}
 	known.failed.add(1, now)
+	known.silences++
+	if known.silences < minSilences && outcome == Silent {
+		known.lastFailure = now
+		return known.ejectIfFailing(common, now)
+	}
 	known.eject(now)
 	return true
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"hemlockknot/internal/coordination/attempt"
 	"hemlockknot/internal/coordination/outlier"
+	"hemlockknot/internal/coordination/pacing"
 	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/protocol/events"
 	"hemlockknot/internal/protocol/relay"
@@ -133,15 +134,18 @@
 		Header:       platform.ForwardHeader(t.r.Header, t.call, dispatch),
 		Body:         t.body,
 		Fresh:        !t.route.Repeatable(),
-		AnswerWithin: g.answerWithin(t, left),
+		AnswerWithin: pacing.FirstByte(t.route, t.call, g.limit(t)),
 		Mine:         func(header http.Header) bool { return platform.ReadAnswer(header).RequestID == t.call.ID },
 		KeepFor:      func(header http.Header) time.Duration { return platform.ReadAnswer(header).IdleLimit },
 	}
 }
 
-// answerWithin returns how long a target may take to begin its answer.
-func (g *Gateway) answerWithin(t *journey, left time.Duration) time.Duration {
-	return left + timeoutSlack
+// limit returns what is left of a request while it is at a target.
+func (g *Gateway) limit(t *journey) pacing.Limit {
+	return pacing.Limit{
+		Left:  time.Until(t.deadline) + timeoutSlack,
+		Again: t.state.AnotherAfterThis() && g.control.retryLeft(t.service),
+	}
 }
 
 // refusedByTarget reports whether a target says that it has not run the request.
@@ -225,7 +229,7 @@
 func (g *Gateway) stream(t *journey, answer *exchange.Answer) attempt.Event {
 	reader := events.NewReader(answer)
 	for {
-		answer.Within(g.pauseWithin(t))
+		answer.Within(pacing.Pause(t.route, g.limit(t)))
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			return g.streamEnded(t, answer)
@@ -243,11 +247,6 @@
 	}
 }
 
-// pauseWithin returns how long the next event may take.
-func (g *Gateway) pauseWithin(t *journey) time.Duration {
-	return time.Until(t.deadline) + timeoutSlack
-}
-
 // pass sends one event to the caller; the first one sends the headers before it.
 func (g *Gateway) pass(t *journey, answer *exchange.Answer, event events.Event, more bool) bool {
 	g.begin(t, answer)
