Forget failed dispatches of sessions; raise the load bound to 1.7 x mean + 3

Cause: a session counted as read where its request had failed, so it was read again; and noisy load estimates moved sessions of engines well below the users' bound.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -22,9 +22,9 @@
 const (
 	// boundFactor and boundSlack give the load, as a multiple of the service's
 	// mean and requests beside, above which an engine is passed over. The users'
-	// bound is 2 x the mean + 3; reports are late, so this leaves headroom.
-	boundFactor = 1.5
-	boundSlack  = 2.0
+	// bound is 2 x the mean + 3; reports are late, so some headroom is left.
+	boundFactor = 1.7
+	boundSlack  = 3.0
 	// localSlack is how many more requests than the least loaded target one of
 	// the own failure domain may hold and still be taken.
 	localSlack = 2.0
@@ -44,8 +44,8 @@
 	domain   string // this daemon's failure domain
 	services map[string][]*candidate
 	byID     map[string]*candidate
-	warm     map[dispatched]time.Time // sessions sent to engines by this daemon
-	last     map[string]*candidate    // engine that this daemon last sent each part to
+	warm     map[dispatched]struct{} // sessions sent to engines by this daemon
+	last     map[string]*candidate   // engine that this daemon last sent each part to
 	started  time.Time
 }
 
@@ -58,7 +58,7 @@
 
 type dispatched struct {
 	session uint64
-	target  string
+	target  *candidate
 }
 
 // Choice is where a request goes.
@@ -67,6 +67,8 @@
 	// FetchFrom is the engine that is believed to hold more of the prompt; nil if
 	// there is none.
 	FetchFrom *fleet.Target
+	Home      *fleet.Target // the session's first engine; nil without a session
+	HomeLoad  float64
 	Load      float64 // estimated requests at the target
 	Mean      float64 // estimated mean of the service
 }
@@ -88,7 +90,7 @@
 		domain:   domain,
 		services: make(map[string][]*candidate),
 		byID:     make(map[string]*candidate),
-		warm:     make(map[dispatched]time.Time),
+		warm:     make(map[dispatched]struct{}),
 		last:     make(map[string]*candidate),
 		started:  now,
 	}
@@ -121,7 +123,7 @@
 }
 
 // Start notes that a request goes to a target.
-func (t *Table) Start(id string, query Query, now time.Time) {
+func (t *Table) Start(id string, query Query) {
 	known := t.byID[id]
 	if known == nil {
 		return
@@ -130,7 +132,7 @@
 	if query.Session == 0 {
 		return
 	}
-	t.remember(dispatched{query.Session, id}, now)
+	t.remember(dispatched{query.Session, known})
 	for _, part := range query.Parts[:len(query.Parts)-1] {
 		t.last[part.ID] = known
 	}
@@ -235,7 +237,11 @@
 			break
 		}
 	}
-	return choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, now)
+	made := choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, now)
+	if first := home.candidate; first != nil {
+		made.Home, made.HomeLoad = first.target, first.load.estimate(now)
+	}
+	return made
 }
 
 // source returns the engine from which the chosen one should fetch what it lacks
@@ -243,7 +249,7 @@
 // session's own engine, else the one that was so before a new one came, else one
 // that has the beginning of the prompt.
 func (t *Table) source(chosen, home, older *candidate, query Query) *candidate {
-	if _, sent := t.warm[dispatched{query.Session, chosen.target.ID}]; sent {
+	if _, sent := t.warm[dispatched{query.Session, chosen}]; sent {
 		return nil
 	}
 	shared := query.Parts[:len(query.Parts)-1]
@@ -311,12 +317,19 @@
 	}
 }
 
-func (t *Table) remember(key dispatched, now time.Time) {
+// Unread notes that a target has not read the prompt that was sent to it last.
+func (t *Table) Unread(id string, session uint64) {
+	if known := t.byID[id]; known != nil {
+		delete(t.warm, dispatched{session, known})
+	}
+}
+
+func (t *Table) remember(key dispatched) {
 	if len(t.warm) >= memoryLimit {
 		clear(t.warm)
 		clear(t.last)
 	}
-	t.warm[key] = now
+	t.warm[key] = struct{}{}
 }
 
 // mix is the finalizer of splitmix64: it spreads a change of any bit.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -175,7 +175,7 @@
 		}
 		if choice.Target != nil {
 			c.outlier.Chosen(choice.Target.ID, now)
-			c.targets.Start(choice.Target.ID, query, now)
+			c.targets.Start(choice.Target.ID, query)
 		}
 	})
 	return choice
@@ -183,10 +183,13 @@
 
 // finish takes in how a try ended, and reports whether its target is left alone
 // from now on.
-func (c *control) finish(target *fleet.Target, outcome outlier.Outcome, known bool) bool {
+func (c *control) finish(target *fleet.Target, session uint64, outcome outlier.Outcome, known bool) bool {
 	ejected := false
 	c.do(func() {
 		c.targets.End(target.ID)
+		if outcome != outlier.Served {
+			c.targets.Unread(target.ID, session)
+		}
 		if !known {
 			return
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -160,7 +160,7 @@
 
 // note takes in how a try ended.
 func (g *Gateway) note(t *journey, outcome outlier.Outcome, known bool) {
-	if g.control.finish(t.choice.Target, outcome, known) {
+	if g.control.finish(t.choice.Target, placement.Session(t.call.Parts), outcome, known) {
 		g.metrics.ejected()
 		g.log.Warn("target left alone", "target", t.choice.Target.ID, "request", t.call.ID, "reason", t.reason)
 	}
@@ -328,6 +328,9 @@
 	if t.choice.Target != nil {
 		fields = append(fields, "target", t.choice.Target.ID, "load", t.choice.Load, "mean_load", t.choice.Mean, "fetched", t.choice.FetchFrom != nil)
 	}
+	if home := t.choice.Home; home != nil && home != t.choice.Target {
+		fields = append(fields, "home", home.ID, "home_draining", home.Draining, "home_load", t.choice.HomeLoad)
+	}
 	if result == "delivered" {
 		g.log.Info("request", fields...)
 		return
