--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -26,7 +26,8 @@
 	outlier *outlier.Tracker
 	budgets map[string]*attempt.Budget
 	policy  budgetPolicy
-	loaded  bool // the list of targets has been read
+	loaded  bool          // the list of targets has been read
+	listed  chan struct{} // closed when it has
 }
 
 // budgetPolicy is the users' bound of retries.
@@ -45,6 +46,7 @@
 		outlier: outlier.New(),
 		budgets: make(map[string]*attempt.Budget),
 		policy:  policy,
+		listed:  make(chan struct{}),
 	}
 }
 
@@ -95,7 +97,10 @@
 			c.roster.StoreReturned(now)
 		}
 		c.roster.Replace(targets, now)
-		c.loaded = true
+		if !c.loaded {
+			c.loaded = true
+			close(c.listed)
+		}
 		c.membersChanged()
 	})
 }
@@ -119,9 +124,23 @@
 
 // ready reports whether targets are known.
 func (c *control) ready() bool {
-	loaded := false
-	c.do(func() { loaded = c.loaded })
-	return loaded
+	select {
+	case <-c.listed:
+		return true
+	default:
+		return false
+	}
+}
+
+// await waits a moment for the first list of targets.
+func (c *control) await(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // request counts a request of a service.
--- a/internal/gateway/document.go
+++ b/internal/gateway/document.go
@@ -53,6 +53,9 @@
 
 // await returns the table in force; if there is none it waits a moment.
 func (f *inForce) await(ctx context.Context, wait time.Duration) *routing.Table {
+	if table := f.current(); table != nil {
+		return table
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"hemlockknot/internal/coordination/pacing"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/routing"
 	"hemlockknot/platform"
@@ -15,11 +16,9 @@
 
 // Times of requests that cannot be served.
 const (
-	// documentWait is how long a request waits for the first configuration.
-	documentWait = 500 * time.Millisecond
-	// comeBack is the pause after which a request that has not run may be sent
-	// again.
-	comeBack = 100 * time.Millisecond
+	// startWait is how long a request waits for the first configuration, and for
+	// the first list of targets.
+	startWait = 500 * time.Millisecond
 	// defaultPatience holds for requests and routes that name no time.
 	defaultPatience = 30 * time.Second
 )
@@ -51,14 +50,15 @@
 		g.reject(j, http.StatusBadRequest, "malformed_request", err.Error())
 		return
 	}
-	table := g.document.await(r.Context(), documentWait)
+	table := g.document.await(r.Context(), startWait)
 	if table == nil {
-		g.refuse(j, "no_configuration")
+		g.refuse(j, "no_configuration", pacing.ComeBack(pacing.Starting, j.call.Patience))
 		return
 	}
 	if !g.admit(j, table) || !g.readBody(j, table) {
 		return
 	}
+	g.control.await(r.Context(), startWait)
 	g.control.request(j.service)
 	g.relay(j)
 }
@@ -135,9 +135,9 @@
 }
 
 // refuse answers a request that has not run and never will.
-func (g *Gateway) refuse(j *job, reason string) {
+func (g *Gateway) refuse(j *job, reason string, retryAfter time.Duration) {
 	g.metrics.refused(reason)
-	g.answer(j, http.StatusServiceUnavailable, "not run: "+reason, comeBack)
+	g.answer(j, http.StatusServiceUnavailable, "not run: "+reason, retryAfter)
 }
 
 // answer sends an answer of the daemon's own.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -303,7 +303,7 @@
 		g.deliver(t, t.failure)
 	case verdict == attempt.NotRun:
 		result = "not_run"
-		g.refuse(t.job, t.reason)
+		g.refuse(t.job, t.reason, pacing.ComeBack(shortage(event), time.Until(t.deadline)))
 	case verdict == attempt.Timeout:
 		result = "timed_out"
 		g.answer(t.job, http.StatusGatewayTimeout, "may have run: out of time", 0)
@@ -314,6 +314,14 @@
 	g.finished(t, result)
 }
 
+// shortage returns why a request that has not run could not be served.
+func shortage(event attempt.Event) pacing.Shortage {
+	if event == attempt.Refused {
+		return pacing.Full
+	}
+	return pacing.Gone
+}
+
 // finished writes the line and the counts of a request that has ended.
 func (g *Gateway) finished(t *journey, result string) {
 	var firstByte time.Duration
