Leave a failure domain whose streams all fall silent

Cause: a zone cut without resets showed only after 2.5 pauses, target by target. Single engines are ruled out as evidence (one that reads a long prompt is silent to all its streams), so several engines of the domain must be silent while others flow.

--- a/internal/coordination/outlier/outlier.go
+++ b/internal/coordination/outlier/outlier.go
@@ -69,11 +69,7 @@
 // that fail at the service's targets on the whole. It reports whether the
 // target is ejected by it.
 func (t *Tracker) Note(id string, outcome Outcome, common float64, now time.Time) bool {
-	known := t.records[id]
-	if known == nil {
-		known = &record{}
-		t.records[id] = known
-	}
+	known := t.record(id)
 	known.trial = false
 	switch outcome {
 	case Served, Busy:
@@ -101,6 +97,18 @@
 	return true
 }
 
+// Eject leaves a target alone for what shows elsewhere than in its exchanges.
+func (t *Tracker) Eject(id string, now time.Time) { t.record(id).eject(now) }
+
+func (t *Tracker) record(id string) *record {
+	known := t.records[id]
+	if known == nil {
+		known = &record{}
+		t.records[id] = known
+	}
+	return known
+}
+
 // FailureShare returns the share of a target's late exchanges that failed.
 func (t *Tracker) FailureShare(id string, now time.Time) (failed, all float64) {
 	known := t.records[id]
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -221,6 +221,23 @@
 	return ejected
 }
 
+// ejectDomain leaves all targets of a failure domain alone for a while. It
+// returns those that were not left alone before.
+func (c *control) ejectDomain(domain string) []*fleet.Target {
+	var ejected []*fleet.Target
+	c.do(func() {
+		now := time.Now()
+		for _, member := range c.roster.Members() {
+			target := member.Target
+			if target.FailureDomain == domain && !c.outlier.Ejected(target.ID, now) {
+				c.outlier.Eject(target.ID, now)
+				ejected = append(ejected, target)
+			}
+		}
+	})
+	return ejected
+}
+
 // commonFailures returns the share of exchanges that fail at a service.
 func (c *control) commonFailures(service string, now time.Time) float64 {
 	failed, all := 0.0, 0.0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	document *inForce
 	control  *control
 	pool     *exchange.Pool
+	flows    *flows
 	callers  *callerServer
 	stopping atomic.Bool
 }
@@ -46,6 +47,7 @@
 		store:    platform.NewStore(settings.StoreAddress),
 		document: newInForce(),
 		pool:     exchange.NewPool(),
+		flows:    newFlows(),
 	}
 	g.control = newControl(settings.FailureDomain, budgetPolicy{
 		ratio:  settings.RetryRatio,
@@ -84,6 +86,7 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { g.control.run(background); return nil })
 	group.Go(func() error { g.pool.Run(background); return nil })
+	group.Go(func() error { g.watchFlows(background); return nil })
 	group.Go(func() error { g.watchDocument(background); return nil })
 	group.Go(func() error { g.watchTargets(background); return nil })
 	group.Go(func() error { return serveUntil(background, g.readyHandler(), ready) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,6 +64,9 @@
 // ejected counts a target that is left alone for a while.
 func (c *counters) ejected() { c.scope.Counter("ejections_total").Inc(1) }
 
+// domainCut counts a failure domain that has fallen silent.
+func (c *counters) domainCut() { c.scope.Counter("domain_cuts_total").Inc(1) }
+
 func (c *counters) storeCall(verb string) {
 	c.scope.Tagged(map[string]string{"verb": verb}).Counter("store_calls_total").Inc(1)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -162,6 +162,7 @@
 func (g *Gateway) note(t *journey, outcome outlier.Outcome, known bool) {
 	if g.control.finish(t.choice.Target, placement.Session(t.call.Parts), outcome, known) {
 		g.metrics.ejected()
+		g.pool.Drop(t.choice.Target.Address)
 		g.log.Warn("target left alone", "target", t.choice.Target.ID, "request", t.call.ID, "reason", t.reason)
 	}
 }
@@ -228,6 +229,8 @@
 // stream passes events on as they come, whole ones only.
 func (g *Gateway) stream(t *journey, answer *exchange.Answer) attempt.Event {
 	reader := events.NewReader(answer)
+	flowing := g.flows.begin(t.choice.Target, giveUp(t, answer))
+	defer g.flows.end(flowing)
 	for {
 		answer.Within(pacing.Pause(t.route, g.limit(t)))
 		event, err := reader.Next()
@@ -237,6 +240,7 @@
 		if err != nil {
 			return g.streamBroken(t, err)
 		}
+		g.flows.event(flowing)
 		if event.ID != 0 && event.ID <= t.lastEvent {
 			continue // the caller has it
 		}
@@ -247,6 +251,15 @@
 	}
 }
 
+// giveUp returns what ends the wait for a stream's next event, nil if no other
+// target may go on.
+func giveUp(t *journey, answer *exchange.Answer) func() {
+	if !t.state.AnotherAfterThis() {
+		return nil
+	}
+	return func() { answer.Within(0) }
+}
+
 // pass sends one event to the caller; the first one sends the headers before it.
 func (g *Gateway) pass(t *journey, answer *exchange.Answer, event events.Event, more bool) bool {
 	g.begin(t, answer)
