--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,40 +5,36 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
-	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"hemlockknot/internal/metrics/exposition"
 )
 
 // reportInterval is how often tally hands its counts over.
-const reportInterval = 5 * time.Second
+const reportInterval = 2 * time.Second
 
 // latencyBuckets are the upper bounds of the latency histograms.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
 // counters are the daemon's metrics.
 type counters struct {
-	scope    tally.Scope
-	registry *prom.Registry
+	scope  tally.Scope
+	report *exposition.Reporter
 }
 
 func newCounters() *counters {
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	reporter := exposition.NewReporter()
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "hemlockknot",
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		Separator:              "_",
+		Reporter:               reporter,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &counters{scope: scope, registry: registry}
+	return &counters{scope: scope, report: reporter}
 }
 
 func (c *counters) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", c.report)
 	return mux
 }
 
@@ -67,10 +63,13 @@
 // domainCut counts a failure domain that has fallen silent.
 func (c *counters) domainCut() { c.scope.Counter("domain_cuts_total").Inc(1) }
 
+// storeCall counts a call of the platform's store.
 func (c *counters) storeCall(verb string) {
 	c.scope.Tagged(map[string]string{"verb": verb}).Counter("store_calls_total").Inc(1)
 }
 
+// dialed counts a new connection to a target.
 func (c *counters) dialed() { c.scope.Counter("connections_opened_total").Inc(1) }
 
+// badEntry counts an object of the store that could not be read.
 func (c *counters) badEntry() { c.scope.Counter("bad_entries_total").Inc(1) }
