--- a/cmd/hemlockknot-gateway/main.go
+++ b/cmd/hemlockknot-gateway/main.go
@@ -3,43 +3,34 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"hemlockknot/internal/eventlog"
 	"hemlockknot/internal/gateway"
 	"hemlockknot/platform"
 )
 
-// The standard library's flags are used, as kingpin's templates take a tenth of
-// the daemon's memory.
-// gcPercent keeps the heap small, as memory is the dearest resource of the hosts.
-const gcPercent = 40
-
 func main() {
-	run := flag.NewFlagSet("run", flag.ExitOnError)
-	settings := run.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
-	metricsPort := run.Int("metrics-port", 0, "port of the metrics; 0: none")
-	command, arguments := "", []string(nil)
-	if len(os.Args) > 1 {
-		command, arguments = os.Args[1], os.Args[2:]
-	}
-	switch {
-	case command == "run":
-		_ = run.Parse(arguments) // exits on an error
+	app := kingpin.New("hemlockknot-gateway", "Router daemon on the platform's machines.")
+	app.HelpFlag.Short('h')
+	run := app.Command("run", "Run the daemon.").Default()
+	settings := run.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
+	metricsPort := run.Flag("metrics-port", "Port of the metrics; 0: none.").Default("0").Int()
+	check := app.Command("check", "Check a settings file and exit.")
+	checked := check.Arg("file", "The platform's settings file.").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
 		exitOn(runDaemon(*settings, *metricsPort))
-	case command == "check" && len(arguments) == 1:
-		_, err := platform.LoadSettings(arguments[0])
+	case check.FullCommand():
+		_, err := platform.LoadSettings(*checked)
 		exitOn(err)
 		fmt.Println("ok")
-	default:
-		fmt.Fprintln(os.Stderr, "usage: hemlockknot-gateway run [--settings FILE] [--metrics-port PORT] | check FILE")
-		os.Exit(2)
 	}
 }
 
@@ -51,7 +42,6 @@
 }
 
 func runDaemon(path string, metricsPort int) error {
-	debug.SetGCPercent(gcPercent)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,36 +5,40 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
 
-	"hemlockknot/internal/metrics/exposition"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // reportInterval is how often tally hands its counts over.
-const reportInterval = 2 * time.Second
+const reportInterval = 5 * time.Second
 
 // latencyBuckets are the upper bounds of the latency histograms.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
 // counters are the daemon's metrics.
 type counters struct {
-	scope  tally.Scope
-	report *exposition.Reporter
+	scope    tally.Scope
+	registry *prom.Registry
 }
 
 func newCounters() *counters {
-	reporter := exposition.NewReporter()
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "hemlockknot",
-		Separator:              "_",
-		Reporter:               reporter,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &counters{scope: scope, report: reporter}
+	return &counters{scope: scope, registry: registry}
 }
 
 func (c *counters) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", c.report)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
 	return mux
 }
 
@@ -63,13 +67,10 @@
 // domainCut counts a failure domain that has fallen silent.
 func (c *counters) domainCut() { c.scope.Counter("domain_cuts_total").Inc(1) }
 
-// storeCall counts a call of the platform's store.
 func (c *counters) storeCall(verb string) {
 	c.scope.Tagged(map[string]string{"verb": verb}).Counter("store_calls_total").Inc(1)
 }
 
-// dialed counts a new connection to a target.
 func (c *counters) dialed() { c.scope.Counter("connections_opened_total").Inc(1) }
 
-// badEntry counts an object of the store that could not be read.
 func (c *counters) badEntry() { c.scope.Counter("bad_entries_total").Inc(1) }
