--- a/cmd/hemlockknot-gateway/main.go
+++ b/cmd/hemlockknot-gateway/main.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -16,6 +17,9 @@
 	"hemlockknot/platform"
 )
 
+// gcPercent keeps the heap small, as memory is the dearest resource of the hosts.
+const gcPercent = 40
+
 func main() {
 	app := kingpin.New("hemlockknot-gateway", "Router daemon on the platform's machines.")
 	app.HelpFlag.Short('h')
@@ -42,6 +46,7 @@
 }
 
 func runDaemon(path string, metricsPort int) error {
+	debug.SetGCPercent(gcPercent)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
