Test the daemon against stand-ins of the platform; flush before breaking off

The tests found: events already written were lost when a stream broke off (callers saw no answer at all), and a watch that net/http had sent again to a silent store was believed for 3.2 s, beyond contactMs: it waits 2 s now.

--- a/cmd/hemlockknot-gateway/main.go
+++ b/cmd/hemlockknot-gateway/main.go
@@ -59,7 +59,11 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return gateway.New(settings, lines).Run(ctx, metricsAddress(settings.IP, metricsPort))
+	daemon, err := gateway.New(settings, lines)
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx, metricsAddress(settings.IP, metricsPort))
 }
 
 func metricsAddress(ip string, port int) string {
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"hemlockknot/platform"
+	"hemlockknot/platform/standin"
+)
+
+// Bounds of the users.
+const (
+	// settled is how long a change may take to be in force.
+	settled = 2 * time.Second
+	// contact is the time after trouble with the store from which a host counts as
+	// calm again.
+	contact = 3 * time.Second
+)
+
+// testLog sends the daemon's lines to the test's output.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Info(message string, fields ...any) { l.put("info", message, fields) }
+func (l testLog) Warn(message string, fields ...any) { l.put("warn", message, fields) }
+
+func (l testLog) put(level, message string, fields []any) {
+	if l.t.Context().Err() == nil {
+		l.t.Log(append([]any{level, message}, fields...)...)
+	}
+}
+
+// testFleet is one daemon between a caller and stand-ins of the platform.
+type testFleet struct {
+	t       *testing.T
+	store   *standin.Store
+	daemon  *Gateway
+	stop    context.CancelFunc
+	stopped chan error
+	client  *http.Client
+	grace   time.Duration // of the daemon's stop
+}
+
+// document is a configuration with one route of each kind.
+func document(version int, keys ...string) map[string]any {
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 3000,
+			"latencyTargetMs": 300, "gapTargetMs": 300, "service": service, "maxAttempts": attempts,
+			"sticky": kind == "streaming", "resumable": resumable, "priority": 1,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("drafts", "/drafts/", "streaming", "writers", 2, true),
+			route("queries", "/queries/", "streaming", "writers", 1, false),
+			route("bookings", "/bookings/", "non_idempotent", "desk", 1, false),
+			route("reads", "/reads/", "idempotent", "desk", 2, false),
+		},
+		"services": []any{map[string]any{"name": "writers"}, map[string]any{"name": "desk"}},
+		"tenants":  []any{map[string]any{"name": "members", "apiKeys": keys}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+const key = "members-key"
+
+// quickGrace ends a daemon quickly after a test.
+const quickGrace = 500 * time.Millisecond
+
+// newFleet starts a daemon with a configuration and targets: two of each service.
+func newFleet(t *testing.T) (f *testFleet, writers, desks [2]*standin.Target) {
+	f = &testFleet{t: t, store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{}}, grace: quickGrace}
+	t.Cleanup(f.store.Close)
+	f.store.Put(platform.KindDocument, platform.DocumentName, document(1, key))
+	for i, name := range []string{"a", "b"} {
+		writers[i] = f.addTarget("writer-"+name, "writers", true)
+		desks[i] = f.addTarget("desk-"+name, "desk", false)
+	}
+	f.start()
+	return f, writers, desks
+}
+
+func (f *testFleet) addTarget(id, service string, streams bool) *standin.Target {
+	target := standin.NewTarget(id, streams)
+	f.t.Cleanup(target.Crash)
+	f.store.Put(platform.KindTargets, id, target.Entry(service, "north", "ready"))
+	return target
+}
+
+// start starts a daemon and waits until it is ready.
+func (f *testFleet) start() {
+	settings := platform.Settings{
+		Host: "front-1", FailureDomain: "north", CallersAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
+		StoreAddress: f.store.Address(), Grace: f.grace, RetryRatio: 0.2, RetryExtra: 400, RetryWindow: 10 * time.Second,
+	}
+	daemon, err := New(settings, testLog{f.t})
+	must.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	f.daemon, f.stop, f.stopped = daemon, stop, make(chan error, 1)
+	go func() { f.stopped <- daemon.Run(ctx, "") }()
+	f.t.Cleanup(func() {
+		f.client.CloseIdleConnections()
+		stop()
+		<-f.stopped
+		f.stopped <- nil
+	})
+	f.eventually(f.ready)
+}
+
+func (f *testFleet) eventually(condition func() bool) {
+	f.t.Helper()
+	f.within(settled, condition)
+}
+
+func (f *testFleet) within(limit time.Duration, condition func() bool) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(limit), wait.Gap(5*time.Millisecond)))
+}
+
+func (f *testFleet) ready() bool {
+	response, err := f.client.Get("http://" + f.daemon.checks.Addr().String() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// call is one request of a caller.
+type call struct {
+	method, path, id, body string
+	header                 map[string]string
+}
+
+func (f *testFleet) request(c call) *http.Request {
+	request, err := http.NewRequestWithContext(f.t.Context(), c.method, "http://"+f.daemon.front.Addr().String()+c.path, strings.NewReader(c.body))
+	must.NoError(f.t, err)
+	request.Host = "desk.example"
+	request.Header.Set("X-Request-Id", c.id)
+	request.Header.Set("X-Key", key)
+	request.Header.Set("X-Deadline-Ms", "3000")
+	if strings.HasPrefix(c.path, "/drafts/") || strings.HasPrefix(c.path, "/queries/") {
+		request.Header.Set("X-Prompt-Prefix", "aa:100,bb:200,"+c.id+":10")
+		request.Header.Set("X-Token-Count", "310,50")
+	}
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	return request
+}
+
+// do sends a request and returns its whole answer.
+func (f *testFleet) do(c call) (status int, header http.Header, body string) {
+	f.t.Helper()
+	response, err := f.client.Do(f.request(c))
+	must.NoError(f.t, err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	must.NoError(f.t, err)
+	return response.StatusCode, response.Header, string(content)
+}
+
+// runsOf returns how often any of the targets ran a request.
+func runsOf(id string, targets ...*standin.Target) int {
+	count := 0
+	for _, target := range targets {
+		for _, run := range target.Runs() {
+			if run.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// failBoth sets the same faults at both targets, as either may be chosen.
+func failBoth(targets [2]*standin.Target, faults ...standin.Fault) {
+	for _, target := range targets {
+		target.Fail(faults...)
+	}
+}
+
+// raw sends bytes on a connection of their own and returns the first answer's
+// status line, empty if the connection ends without one.
+func (f *testFleet) raw(text string) string {
+	conn, err := net.Dial("tcp", f.daemon.front.Addr().String())
+	must.NoError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	must.NoError(f.t, err)
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,12 +35,24 @@
 	pool     *exchange.Pool
 	flows    *flows
 	callers  *callerServer
+	front    net.Listener // of callers
+	checks   net.Listener // of the platform's readiness checks
 	stopping atomic.Bool
 }
 
-// New returns a daemon; Run starts it.
-func New(settings platform.Settings, log logger) *Gateway {
+// New opens the daemon's listeners; Run serves them.
+func New(settings platform.Settings, log logger) (*Gateway, error) {
+	front, err := listen("callers", settings.CallersAddress)
+	if err != nil {
+		return nil, err
+	}
+	checks, err := listen("readiness checks", settings.ReadyAddress)
+	if err != nil {
+		return nil, errors.Join(err, front.Close())
+	}
 	g := &Gateway{
+		front:    front,
+		checks:   checks,
 		settings: settings,
 		log:      log,
 		metrics:  newCounters(),
@@ -58,7 +70,7 @@
 	g.store.Called = g.metrics.storeCall
 	g.pool.Dialed = g.metrics.dialed
 	g.callers = newCallerServer(http.HandlerFunc(g.serve), g.idleTimeout)
-	return g
+	return g, nil
 }
 
 // assumedDaemons share the retry budget as long as no peer is known.
@@ -75,26 +87,18 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g.control.done = background.Done()
-	callers, err := listen("callers", g.settings.CallersAddress)
-	if err != nil {
-		return err
-	}
-	ready, err := listen("readiness checks", g.settings.ReadyAddress)
-	if err != nil {
-		return err
-	}
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { g.control.run(background); return nil })
 	group.Go(func() error { g.pool.Run(background); return nil })
 	group.Go(func() error { g.watchFlows(background); return nil })
 	group.Go(func() error { g.watchDocument(background); return nil })
 	group.Go(func() error { g.watchTargets(background); return nil })
-	group.Go(func() error { return serveUntil(background, g.readyHandler(), ready) })
-	group.Go(func() error { return g.callers.serve(callers) })
+	group.Go(func() error { return serveUntil(background, g.readyHandler(), g.checks) })
+	group.Go(func() error { return g.callers.serve(g.front) })
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
 	}
-	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain, "callers", g.settings.CallersAddress)
+	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain, "callers", g.front.Addr().String())
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -238,6 +238,7 @@
 			return g.streamEnded(t, answer)
 		}
 		if err != nil {
+			flush(t) // what has come is the caller's, also if nothing follows
 			return g.streamBroken(t, err)
 		}
 		g.flows.event(flowing)
@@ -270,7 +271,12 @@
 	if more {
 		return true
 	}
-	return http.NewResponseController(t.w).Flush() == nil
+	return flush(t)
+}
+
+// flush sends what has been written of an answer that has begun.
+func flush(t *journey) bool {
+	return t.firstByte.IsZero() || http.NewResponseController(t.w).Flush() == nil
 }
 
 // begin sends the headers of a stream. They are those of its first target.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,9 +12,10 @@
 
 // Times of the watches of the store.
 const (
-	// watchWait is how long one watch waits at the store. It bounds how long a
-	// connection that went silent is believed.
-	watchWait = 2500 * time.Millisecond
+	// watchWait is how long one watch waits at the store. With the time that a call
+	// may take besides, it bounds how long a connection that went silent is
+	// believed: less than the users' contactMs of 3 s.
+	watchWait = 2 * time.Second
 	// probeWait is the same after a failed call: until the store has answered, a
 	// long silence would say nothing.
 	probeWait = 50 * time.Millisecond
