--- a/internal/coordination/placement/load.go
+++ b/internal/coordination/placement/load.go
@@ -10,14 +10,15 @@
 type load struct {
 	own      int // this daemon's requests in progress
 	others   int // those of all others, by the target's last report
-	reported time.Time
-	waiting  int
+	heard    bool
+	reported time.Duration // when that came, since the table's start
 }
 
-// estimate returns the requests that the target holds, as far as is known.
-func (l *load) estimate(now time.Time) float64 {
-	age := now.Sub(l.reported)
-	if age >= reportLifetime {
+// estimate returns the requests that the target holds, as far as is known. At is
+// the time since the table's start.
+func (l *load) estimate(at time.Duration) float64 {
+	age := at - l.reported
+	if !l.heard || l.others == 0 || age >= reportLifetime {
 		return float64(l.own)
 	}
 	fresh := 1 - float64(age)/float64(reportLifetime)
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -153,8 +153,8 @@
 		return
 	}
 	known.load.others = max(0, report.Running+report.Waiting-known.load.own)
-	known.load.waiting = report.Waiting
-	known.load.reported = now
+	known.load.heard = true
+	known.load.reported = now.Sub(t.started)
 }
 
 // Choose returns where a request goes; its target is nil if there is none.
@@ -168,13 +168,14 @@
 
 // leastLoaded prefers the own failure domain among targets of similar load.
 func (t *Table) leastLoaded(candidates []*candidate, query Query, now time.Time) Choice {
+	at := now.Sub(t.started)
 	var best *candidate
 	bestCost, sum, count := 0.0, 0.0, 0
 	for _, known := range candidates {
 		if known.target.Draining {
 			continue
 		}
-		estimate := known.load.estimate(now)
+		estimate := known.load.estimate(at)
 		sum += estimate
 		count++
 		if query.Excluded(known.target.ID) {
@@ -188,7 +189,7 @@
 			best, bestCost = known, cost
 		}
 	}
-	return choice(best, nil, sum, count, now)
+	return choice(best, nil, sum, count, at)
 }
 
 // ranked is a candidate and its rank for a session.
@@ -204,25 +205,27 @@
 	var home, older ranked      // first of all that hold prompts; first settled
 	var idlest *candidate
 	idlestLoad, sum, count := 0.0, 0.0, 0
+	at := now.Sub(t.started)
 	for _, known := range candidates {
 		next := ranked{known, mix(query.Session ^ known.seed)}
-		if query.Reachable(known.target.ID) {
-			home = better(home, next)
-			if t.settled(known, now) {
-				older = better(older, next)
-			}
+		if next.ahead(home) && query.Reachable(known.target.ID) {
+			home = next
+		}
+		if next.ahead(older) && t.settled(known, now) && query.Reachable(known.target.ID) {
+			older = next
 		}
 		if known.target.Draining {
 			continue
 		}
-		estimate := known.load.estimate(now)
+		estimate := known.load.estimate(at)
 		sum += estimate
 		count++
-		if query.Excluded(known.target.ID) {
+		idler := idlest == nil || estimate < idlestLoad
+		if !idler && !next.ahead(order[preferred-1]) || query.Excluded(known.target.ID) {
 			continue
 		}
 		insert(&order, next)
-		if idlest == nil || estimate < idlestLoad {
+		if idler {
 			idlest, idlestLoad = known, estimate
 		}
 	}
@@ -232,14 +235,14 @@
 	chosen := idlest
 	limit := boundFactor*sum/float64(count) + boundSlack
 	for _, next := range order {
-		if next.candidate != nil && next.candidate.load.estimate(now) < limit {
+		if next.candidate != nil && next.candidate.load.estimate(at) < limit {
 			chosen = next.candidate
 			break
 		}
 	}
-	made := choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, now)
+	made := choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, at)
 	if first := home.candidate; first != nil {
-		made.Home, made.HomeLoad = first.target, first.load.estimate(now)
+		made.Home, made.HomeLoad = first.target, first.load.estimate(at)
 	}
 	return made
 }
@@ -286,22 +289,20 @@
 	return now.Sub(known.seen) >= settledAfter || known.seen.Sub(t.started) < settledAfter/10
 }
 
-func choice(chosen, source *candidate, sum float64, count int, now time.Time) Choice {
+func choice(chosen, source *candidate, sum float64, count int, at time.Duration) Choice {
 	if chosen == nil {
 		return Choice{}
 	}
-	made := Choice{Target: chosen.target, Load: chosen.load.estimate(now), Mean: sum / float64(count)}
+	made := Choice{Target: chosen.target, Load: chosen.load.estimate(at), Mean: sum / float64(count)}
 	if source != nil {
 		made.FetchFrom = source.target
 	}
 	return made
 }
 
-func better(a, b ranked) ranked {
-	if a.candidate == nil || b.score > a.score {
-		return b
-	}
-	return a
+// ahead reports whether a candidate ranks higher than another, which may be none.
+func (r ranked) ahead(other ranked) bool {
+	return other.candidate == nil || r.score > other.score
 }
 
 // insert keeps the highest scores in falling order.
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,172 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	. "hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/coordination/roster"
+	"hemlockknot/internal/protocol/relay"
+	"hemlockknot/internal/state/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// members returns engines that are known since the start.
+func members(count int) []roster.Member {
+	var list []roster.Member
+	for i := range count {
+		list = append(list, member(i, start, false))
+	}
+	return list
+}
+
+func member(number int, seen time.Time, draining bool) roster.Member {
+	return roster.Member{Seen: seen, Target: &fleet.Target{
+		ID: fmt.Sprintf("e%d", number), Service: "writers", Address: fmt.Sprintf("10.0.0.%d:80", number),
+		FailureDomain: []string{"north", "south"}[number%2], Slots: 64, Draining: draining,
+	}}
+}
+
+func session(name string) Query {
+	parts := []relay.Part{{ID: "system", Tokens: 512}, {ID: name, Tokens: 10_000}, {ID: name + "-own", Tokens: 100}}
+	return Query{Service: "writers", Session: Session(parts), Parts: parts, Excluded: never, Reachable: always}
+}
+
+func never(string) bool  { return false }
+func always(string) bool { return true }
+
+func TestSessionsStayWhereTheyAreWhenAnEngineComes(t *testing.T) {
+	table := NewTable("north", start)
+	table.SetMembers(members(10))
+	now := start.Add(time.Minute)
+	before := make(map[string]string)
+	for i := range 500 {
+		name := fmt.Sprint("s", i)
+		before[name] = table.Choose(session(name), now).Target.ID
+	}
+	table.SetMembers(append(members(10), member(10, now, false)))
+	moved := 0
+	for name, engine := range before {
+		choice := table.Choose(session(name), now)
+		if choice.Target.ID == engine {
+			continue
+		}
+		moved++
+		must.Eq(t, "e10", choice.Target.ID)
+		must.Eq(t, engine, choice.FetchFrom.ID, must.Sprint("a moved session is fetched from where it was"))
+	}
+	must.Between(t, 20, moved, 80) // 1 in 11 of 500, with room for chance
+}
+
+func TestLeavingEngineGivesItsPrompts(t *testing.T) {
+	table := NewTable("north", start)
+	list := members(6)
+	table.SetMembers(list)
+	now := start.Add(time.Minute)
+	home := table.Choose(session("s"), now).Target
+	for i := range list {
+		if list[i].Target.ID == home.ID {
+			leaving := *list[i].Target
+			leaving.Draining = true
+			list[i].Target = &leaving
+		}
+	}
+	table.SetMembers(list)
+	choice := table.Choose(session("s"), now)
+	must.NotEq(t, home.ID, choice.Target.ID)
+	must.Eq(t, home.ID, choice.FetchFrom.ID)
+}
+
+func TestSecondRequestFetchesNothing(t *testing.T) {
+	table := NewTable("north", start)
+	table.SetMembers(members(6))
+	now := start.Add(time.Minute)
+	home := table.Choose(session("s"), now).Target.ID
+	query := session("s")
+	query.Excluded = func(id string) bool { return id == home }
+	first := table.Choose(query, now)
+	must.Eq(t, home, first.FetchFrom.ID)
+	table.Start(first.Target.ID, query)
+	must.Nil(t, table.Choose(query, now).FetchFrom)
+	table.Unread(first.Target.ID, query.Session)
+	must.NotNil(t, table.Choose(query, now).FetchFrom)
+}
+
+// A hot session's requests are spread once its engine is above the bound, and
+// come back when the load is gone.
+func TestHotSessionIsSpreadAndReturns(t *testing.T) {
+	table := NewTable("north", start)
+	table.SetMembers(members(8))
+	now := start.Add(time.Minute)
+	query := session("hot")
+	home := table.Choose(query, now).Target.ID
+	started := make(map[string]int)
+	for range 64 {
+		id := table.Choose(query, now).Target.ID
+		table.Start(id, query)
+		started[id]++
+	}
+	must.Greater(t, 1, len(started))
+	for id, count := range started {
+		// The users' bound: twice the mean of 8, and 3.
+		must.LessEq(t, 2*64/8+3, count, must.Sprint(id))
+	}
+	for id, count := range started {
+		for range count {
+			table.End(id)
+		}
+	}
+	must.Eq(t, home, table.Choose(query, now).Target.ID)
+}
+
+// Reports show the load that other daemons bring.
+func TestReportedLoadCountsAndFades(t *testing.T) {
+	table := NewTable("north", start)
+	table.SetMembers(members(8))
+	now := start.Add(time.Minute)
+	home := table.Choose(session("s"), now).Target.ID
+	table.Report(home, relay.Load{Running: 60, Slots: 64}, now)
+	must.NotEq(t, home, table.Choose(session("s"), now).Target.ID)
+	must.Eq(t, home, table.Choose(session("s"), now.Add(3*time.Second)).Target.ID)
+}
+
+func TestPlainRequestsStayInTheirDomainUntilItIsLoaded(t *testing.T) {
+	table := NewTable("north", start)
+	table.SetMembers(members(2)) // e0 in the north, e1 in the south
+	query := Query{Service: "writers", Excluded: never, Reachable: always}
+	now := start.Add(time.Minute)
+	var order []string
+	for range 6 {
+		id := table.Choose(query, now).Target.ID
+		order = append(order, id)
+		table.Start(id, query)
+	}
+	must.Eq(t, []string{"e0", "e0"}, order[:2])
+	must.SliceContains(t, order, "e1")
+}
+
+func TestNothingToChoose(t *testing.T) {
+	table := NewTable("north", start)
+	must.Nil(t, table.Choose(session("s"), start).Target)
+	table.SetMembers(members(2))
+	query := session("s")
+	query.Excluded = always
+	must.Nil(t, table.Choose(query, start).Target)
+}
+
+func BenchmarkChoose436(b *testing.B) {
+	table := NewTable("north", start)
+	table.SetMembers(members(436))
+	query := session("s")
+	now := start.Add(time.Minute)
+	for i := range 436 {
+		table.Report(fmt.Sprint("e", i), relay.Load{Running: 20 + i%7, Slots: 64}, now)
+	}
+	for b.Loop() {
+		table.Choose(query, now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/roster/roster_test.go
@@ -0,0 +1,68 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	. "hemlockknot/internal/coordination/roster"
+	"hemlockknot/internal/state/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func target(id string) *fleet.Target {
+	return &fleet.Target{ID: id, Service: "s", Address: "10.0.0.1:80", Born: 1}
+}
+
+func ids(r *Roster) []string {
+	var list []string
+	for _, member := range r.Members() {
+		list = append(list, member.Target.ID)
+	}
+	return list
+}
+
+func TestListReplacesWhatIsMissing(t *testing.T) {
+	r := New()
+	r.Replace([]*fleet.Target{target("a"), target("b")}, start)
+	r.Replace([]*fleet.Target{target("b")}, start)
+	must.Eq(t, []string{"b"}, ids(r))
+}
+
+func TestLapsedEntriesHaveTimeToComeBackAfterTheStore(t *testing.T) {
+	r := New()
+	r.Replace([]*fleet.Target{target("a"), target("b"), target("c")}, start)
+	r.StoreReturned(start)
+	r.Replace([]*fleet.Target{target("a")}, start)
+	r.Remove("a", start)
+	must.Eq(t, []string{"a", "b", "c"}, ids(r))
+	r.Put(target("b"), start.Add(time.Second))
+	must.True(t, r.Expire(start.Add(ReturnGrace)))
+	must.Eq(t, []string{"b"}, ids(r))
+	r.Remove("b", start.Add(ReturnGrace))
+	must.Eq(t, nil, ids(r))
+}
+
+func TestDrainingEntryIsGoneAtOnce(t *testing.T) {
+	r := New()
+	leaving := target("a")
+	leaving.Draining = true
+	r.Put(leaving, start)
+	r.StoreReturned(start)
+	r.Remove("a", start)
+	must.Eq(t, nil, ids(r))
+}
+
+func TestNewIncarnationIsSeenAnew(t *testing.T) {
+	r := New()
+	r.Put(target("a"), start)
+	later := start.Add(time.Minute)
+	r.Put(target("a"), later)
+	must.Eq(t, start, r.Members()[0].Seen)
+	again := target("a")
+	again.Born = 2
+	r.Put(again, later)
+	must.Eq(t, later, r.Members()[0].Seen)
+}
