Let daemons tell each other configuration and targets over drpc

Cause: a daemon that the store does not serve could not learn of revoked keys, nor start. Each exchanges with one daemon of its failure domain and one of another every 0.4 s.

--- a/internal/gateway/document.go
+++ b/internal/gateway/document.go
@@ -84,6 +84,5 @@
 	if g.document.offer(routing.NewTable(document), spec) {
 		g.log.Warn("configuration in force", "version", document.Version, "source", source,
 			"routes", len(document.Routes), "workspaces", len(document.Workspaces))
-		g.documentChanged(document.Version)
 	}
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -99,10 +99,22 @@
 
 // start starts a daemon and waits until it is ready.
 func (f *testFleet) start() {
-	settings := platform.Settings{
-		Host: "front-1", FailureDomain: "north", CallersAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
-		StoreAddress: f.store.Address(), Grace: f.grace, RetryRatio: 0.2, RetryExtra: 400, RetryWindow: 10 * time.Second,
-	}
+	f.startWith(platform.Settings{Host: "front-1", StoreAddress: f.store.Address()})
+}
+
+// peer returns a fleet of a second daemon, which knows the first one as a seed.
+// The store at its address, which may be none, may be another than the first's.
+func (f *testFleet) peer(storeAddress string) *testFleet {
+	second := &testFleet{t: f.t, store: f.store, client: f.client, grace: f.grace}
+	second.startWith(platform.Settings{Host: "front-2", StoreAddress: storeAddress, Seeds: []string{f.daemon.others.Addr().String()}})
+	return second
+}
+
+func (f *testFleet) startWith(settings platform.Settings) {
+	settings.FailureDomain = "north"
+	settings.CallersAddress, settings.ReadyAddress, settings.PeersAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings.Grace = f.grace
+	settings.RetryRatio, settings.RetryExtra, settings.RetryWindow = 0.2, 400, 10*time.Second
 	daemon, err := New(settings, testLog{f.t})
 	must.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/transport/exchange"
+	"hemlockknot/internal/transport/mesh"
 	"hemlockknot/platform"
 )
 
@@ -34,9 +36,12 @@
 	control  *control
 	pool     *exchange.Pool
 	flows    *flows
+	targets  *targetList
+	peers    *peers
 	callers  *callerServer
 	front    net.Listener // of callers
 	checks   net.Listener // of the platform's readiness checks
+	others   net.Listener // of other daemons; nil if the settings name no address
 	stopping atomic.Bool
 }
 
@@ -50,8 +55,15 @@
 	if err != nil {
 		return nil, errors.Join(err, front.Close())
 	}
+	var others net.Listener
+	if settings.PeersAddress != "" {
+		if others, err = listen("other daemons", settings.PeersAddress); err != nil {
+			return nil, errors.Join(err, front.Close(), checks.Close())
+		}
+	}
 	g := &Gateway{
 		front:    front,
+		others:   others,
 		checks:   checks,
 		settings: settings,
 		log:      log,
@@ -69,17 +81,33 @@
 	})
 	g.store.Called = g.metrics.storeCall
 	g.pool.Dialed = g.metrics.dialed
+	g.targets = newTargetList(g)
+	g.peers = newPeers(g, self(settings, others))
 	g.callers = newCallerServer(http.HandlerFunc(g.serve), g.idleTimeout)
 	return g, nil
 }
 
-// assumedDaemons share the retry budget as long as no peer is known.
-const assumedDaemons = 8
+// self describes this daemon to its peers. The start's time serves as the
+// incarnation: it rises with every start.
+func self(settings platform.Settings, others net.Listener) *peerpb.Member {
+	member := &peerpb.Member{
+		Name:          settings.Host,
+		Place:         settings.Place,
+		FailureDomain: settings.FailureDomain,
+		Incarnation:   uint64(time.Now().UnixNano()),
+	}
+	if others != nil {
+		member.Address = others.Addr().String()
+	}
+	return member
+}
+
+// fewestDaemons is the least number among which the fleet's budgets are shared:
+// a daemon that knows few others may be cut off from the rest.
+const fewestDaemons = 8
 
 // daemons returns how many daemons share the fleet's budgets.
-func (g *Gateway) daemons() int { return assumedDaemons }
-
-func (g *Gateway) documentChanged(int64) {}
+func (g *Gateway) daemons() int { return max(fewestDaemons, g.peers.known()) }
 
 // Run serves until the context ends, then stops gracefully. Metrics are served
 // at metricsAddress, if there is one.
@@ -92,9 +120,13 @@
 	group.Go(func() error { g.pool.Run(background); return nil })
 	group.Go(func() error { g.watchFlows(background); return nil })
 	group.Go(func() error { g.watchDocument(background); return nil })
-	group.Go(func() error { g.watchTargets(background); return nil })
+	group.Go(func() error { g.targets.watch.run(background); return nil })
 	group.Go(func() error { return serveUntil(background, g.readyHandler(), g.checks) })
 	group.Go(func() error { return g.callers.serve(g.front) })
+	if g.others != nil {
+		group.Go(func() error { return mesh.Serve(background, g.others, g.peers) })
+		group.Go(func() error { g.peers.run(background); return nil })
+	}
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -74,3 +74,9 @@
 func (c *counters) dialed() { c.scope.Counter("connections_opened_total").Inc(1) }
 
 func (c *counters) badEntry() { c.scope.Counter("bad_entries_total").Inc(1) }
+
+// peerBytes counts the bytes of exchanges with other daemons.
+func (c *counters) peerBytes(n int) { c.scope.Counter("peer_bytes_total").Inc(int64(n)) }
+
+// peerFailed counts an exchange that a peer did not answer.
+func (c *counters) peerFailed() { c.scope.Counter("peer_failures_total").Inc(1) }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hemlockknot/internal/coordination/member"
+	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/transport/mesh"
+	"hemlockknot/platform"
+)
+
+const (
+	// exchangeInterval is how often a daemon exchanges with two others. News
+	// reaches all in a few rounds, within the bounds of a configuration.
+	exchangeInterval = 400 * time.Millisecond
+	// gossiped is how many daemons' entries go with an exchange.
+	gossiped = 16
+	// behindAfter is how long a peer may know a later change to the list of
+	// targets before this daemon takes its own watch for dead.
+	behindAfter = 500 * time.Millisecond
+)
+
+// peers exchanges with other daemons what the store has told them: one that the
+// store does not serve, or whose watch went silent, learns it from those.
+type peers struct {
+	gateway *Gateway
+	client  *mesh.Client
+	seeds   []string
+	random  *rand.Rand // of the exchanging goroutine
+	hurry   chan string
+
+	mu     sync.Mutex
+	table  *member.Table
+	behind time.Time // since when a peer knows a later list; zero if none does
+}
+
+func newPeers(g *Gateway, self *peerpb.Member) *peers {
+	p := &peers{
+		gateway: g,
+		client:  mesh.NewClient(g.metrics.peerBytes),
+		random:  rand.New(rand.NewPCG(self.GetIncarnation(), 0)),
+		hurry:   make(chan string, 1),
+		table:   member.New(self),
+	}
+	for _, seed := range g.settings.Seeds {
+		if seed != self.GetAddress() {
+			p.seeds = append(p.seeds, seed)
+		}
+	}
+	return p
+}
+
+// run exchanges until the context ends.
+func (p *peers) run(ctx context.Context) {
+	defer p.client.Close()
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		for _, address := range p.addresses() {
+			p.exchange(ctx, address)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case address := <-p.hurry:
+			p.exchange(ctx, address)
+		}
+	}
+}
+
+// addresses returns whom to exchange with: live daemons, or a seed as long as
+// none is known.
+func (p *peers) addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.table.Beat(now)
+	p.table.Expire(now)
+	var addresses []string
+	for _, partner := range p.table.Partners(p.random, now) {
+		addresses = append(addresses, partner.GetAddress())
+	}
+	if len(addresses) == 0 && len(p.seeds) > 0 {
+		addresses = []string{p.seeds[p.random.IntN(len(p.seeds))]}
+	}
+	return addresses
+}
+
+func (p *peers) exchange(ctx context.Context, address string) {
+	reply, err := p.client.Exchange(ctx, address, p.state(rand.New(rand.NewPCG(p.random.Uint64(), 0))))
+	if err != nil {
+		p.gateway.metrics.peerFailed()
+		return // a peer that does not answer drops out of the table by itself
+	}
+	p.merge(reply)
+}
+
+// Exchange implements the drpc service.
+func (p *peers) Exchange(_ context.Context, theirs *peerpb.MeshState) (*peerpb.MeshState, error) {
+	ours := p.state(rand.New(rand.NewPCG(rand.Uint64(), 0)))
+	p.addLacking(ours, theirs)
+	p.merge(theirs)
+	if theirs.GetDocumentVersion() > ours.GetDocumentVersion() && len(theirs.GetMembers()) > 0 {
+		select {
+		case p.hurry <- theirs.GetMembers()[0].GetAddress():
+		default:
+		}
+	}
+	return ours, nil
+}
+
+// state is what this daemon tells in every exchange.
+func (p *peers) state(random *rand.Rand) *peerpb.MeshState {
+	p.mu.Lock()
+	members := p.table.Sample(random, gossiped, time.Now())
+	p.mu.Unlock()
+	version, _ := p.gateway.document.encoded()
+	return &peerpb.MeshState{
+		Members:         members,
+		DocumentVersion: version,
+		TargetsRevision: p.gateway.targets.lastChange(),
+		StoreAway:       !p.gateway.targets.following(),
+	}
+}
+
+// addLacking adds what the daemon that asks lacks.
+func (p *peers) addLacking(ours, theirs *peerpb.MeshState) {
+	if version, spec := p.gateway.document.encoded(); version > theirs.GetDocumentVersion() {
+		ours.Document = spec
+	}
+	if theirs.GetStoreAway() && ours.GetTargetsRevision() > theirs.GetTargetsRevision() {
+		for _, object := range p.gateway.targets.objects() {
+			ours.Targets = append(ours.Targets, &peerpb.StoreObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec})
+		}
+	}
+}
+
+// merge takes in what a peer has told.
+func (p *peers) merge(theirs *peerpb.MeshState) {
+	if spec := theirs.GetDocument(); len(spec) > 0 {
+		p.gateway.takeSpec(spec, "peer")
+	}
+	if entries := theirs.GetTargets(); len(entries) > 0 {
+		var objects []platform.Object
+		for _, entry := range entries {
+			objects = append(objects, platform.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Spec: entry.GetSpec()})
+		}
+		p.gateway.targets.fromPeer(objects, theirs.GetTargetsRevision())
+	}
+	if p.notice(theirs) {
+		p.gateway.log.Warn("a peer knows a later list of targets, asking the store again", "revision", theirs.GetTargetsRevision())
+		p.gateway.targets.watch.again()
+	}
+}
+
+// notice notes a peer's members and reports whether this daemon's watch of the
+// targets seems dead.
+func (p *peers) notice(theirs *peerpb.MeshState) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.table.Merge(theirs.GetMembers(), now)
+	switch {
+	case theirs.GetTargetsRevision() <= p.gateway.targets.lastChange():
+		p.behind = time.Time{}
+	case p.behind.IsZero():
+		p.behind = now
+	case now.Sub(p.behind) > behindAfter:
+		p.behind = time.Time{}
+		return true
+	}
+	return false
+}
+
+// known returns how many daemons there are, as far as is known.
+func (p *peers) known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Known()
+}
+
+// leave tells the peers that this daemon stops.
+func (p *peers) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Leave()
+}
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/platform"
+	"hemlockknot/platform/standin"
+)
+
+// nowhere returns an address that refuses connections.
+func nowhere(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestDaemonThatTheStoreDoesNotServeLearnsFromAPeer(t *testing.T) {
+	f, _, _ := newFleet(t)
+	second := f.peer(nowhere(t)) // ready, so it has a configuration and targets
+	must.Eq(t, http.StatusOK, second.read("r1", key))
+
+	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	second.eventually(func() bool { return second.read("r2", "new-key") == http.StatusOK })
+	must.Eq(t, http.StatusUnauthorized, second.read("r3", key), must.Sprint("a key that was taken away"))
+}
+
+func TestCutOffDaemonHearsOfNewTargets(t *testing.T) {
+	f, _, desks := newFleet(t)
+	second := f.peer(nowhere(t))
+	added := f.addTarget("desk-c", "desk", false)
+	for _, desk := range desks {
+		f.store.Put(platform.KindTargets, desk.ID, desk.Entry("desk", "north", "draining"))
+	}
+	second.eventually(func() bool {
+		return second.read("r1", key) == http.StatusOK && runsOf("r1", added) > 0
+	})
+}
+
+func TestSilentWatchIsAskedAgainWhenAPeerKnowsMore(t *testing.T) {
+	f, _, _ := newFleet(t)
+	stale := standin.NewStore()
+	t.Cleanup(stale.Close)
+	// The second daemon's store has what the first one's had, and tells of no
+	// change.
+	for _, object := range f.daemon.targets.objects() {
+		stale.PutRaw(platform.KindTargets, object.Name, object.Spec)
+	}
+	stale.Put(platform.KindDocument, platform.DocumentName, document(1, key))
+	second := f.peer(stale.Address())
+	for range 10 { // the first store's revisions run ahead
+		f.addTarget("desk-c", "desk", false)
+	}
+	second.eventually(func() bool { return second.daemon.targets.watch.asked() > 0 })
+}
+
+func TestRetryBudgetIsSharedAmongDaemons(t *testing.T) {
+	f, _, _ := newFleet(t)
+	must.Eq(t, fewestDaemons, f.daemon.daemons())
+	second := f.peer(f.store.Address())
+	f.eventually(func() bool { return f.daemon.peers.known() == 2 && second.daemon.peers.known() == 2 })
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,6 +20,7 @@
 func (g *Gateway) stop() {
 	g.stopping.Store(true)
 	g.callers.closing.Store(true)
+	g.peers.leave()
 	g.log.Warn("stopping", "requests", g.callers.requests.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
 	defer cancel()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"hemlockknot/internal/state/fleet"
 	"hemlockknot/platform"
 )
 
@@ -35,14 +35,49 @@
 	// store was away before.
 	replace func(objects []platform.Object, returned bool)
 	change  func(changes []platform.Change, returned bool)
+	// lost is told when the store counts as away.
+	lost func()
 
 	failures int
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // of the call in progress
+	broken int                // calls that were broken off as dead
+}
+
+func newWatcher(kind string, store *platform.Store, log logger) *watcher {
+	return &watcher{kind: kind, store: store, log: log, lost: func() {}, cancel: func() {}}
+}
+
+// again breaks off the call in progress, as its connection seems dead.
+func (w *watcher) again() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel()
+	w.broken++
+}
+
+// asked returns how often a call was broken off to ask again.
+func (w *watcher) asked() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.broken
+}
+
+// begin returns the context of the next call.
+func (w *watcher) begin(ctx context.Context) context.Context {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel()
+	call, cancel := context.WithCancel(ctx)
+	w.cancel = cancel
+	return call
 }
 
 // run lists and watches until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		objects, revision, err := w.store.List(ctx, w.kind)
+		objects, revision, err := w.store.List(w.begin(ctx), w.kind)
 		if err != nil {
 			w.failed(ctx, err)
 			continue
@@ -55,7 +90,7 @@
 // follow watches until a list is needed again.
 func (w *watcher) follow(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
-		changes, next, err := w.store.Watch(ctx, w.kind, revision, w.wait())
+		changes, next, err := w.store.Watch(w.begin(ctx), w.kind, revision, w.wait())
 		if errors.Is(err, platform.ErrHistoryGone) {
 			w.log.Warn("history of the store is gone, listing again", "kind", w.kind, "revision", revision)
 			return
@@ -87,6 +122,7 @@
 	}
 	w.failures++
 	if w.failures == awayAfter {
+		w.lost()
 		w.log.Warn("store is away", "kind", w.kind, "error", err)
 	}
 	pause := min(maxPause, minPause<<min(w.failures-1, 8))
@@ -109,56 +145,9 @@
 	return was
 }
 
-// watchTargets follows the list of targets.
-func (g *Gateway) watchTargets(ctx context.Context) {
-	w := &watcher{kind: platform.KindTargets, store: g.store, log: g.log}
-	w.replace = func(objects []platform.Object, returned bool) {
-		var targets []*fleet.Target
-		for _, object := range objects {
-			if target := g.decodeTarget(object); target != nil {
-				targets = append(targets, target)
-			}
-		}
-		g.control.replaceTargets(targets, returned)
-		g.log.Warn("listed targets", "targets", len(targets), "entries", len(objects))
-	}
-	w.change = func(changes []platform.Change, returned bool) {
-		var put []*fleet.Target
-		var removed []string
-		for _, change := range changes {
-			target := (*fleet.Target)(nil)
-			if !change.Deleted {
-				target = g.decodeTarget(change.Object)
-			}
-			if target == nil {
-				removed = append(removed, change.Object.Name)
-				continue
-			}
-			put = append(put, target)
-			g.log.Info("target changed", "target", target.ID, "service", target.Service, "draining", target.Draining, "revision", change.Object.Revision)
-		}
-		for _, id := range removed {
-			g.log.Info("target removed", "target", id)
-		}
-		g.control.changeTargets(put, removed, returned)
-	}
-	w.run(ctx)
-}
-
-// decodeTarget returns nil for an entry that names no target.
-func (g *Gateway) decodeTarget(object platform.Object) *fleet.Target {
-	target, err := platform.DecodeTarget(object)
-	if err != nil {
-		g.log.Warn("entry of the list names no target", "entry", object.Name, "error", err)
-		g.metrics.badEntry()
-		return nil
-	}
-	return target
-}
-
 // watchDocument follows the configuration.
 func (g *Gateway) watchDocument(ctx context.Context) {
-	w := &watcher{kind: platform.KindDocument, store: g.store, log: g.log}
+	w := newWatcher(platform.KindDocument, g.store, g.log)
 	w.replace = func(objects []platform.Object, _ bool) {
 		for _, object := range objects {
 			g.takeDocument(object)
