--- /dev/null
+++ b/internal/coordination/cutoff/domains_test.go
@@ -0,0 +1,36 @@
+package cutoff_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	. "hemlockknot/internal/coordination/cutoff"
+)
+
+func TestDomainIsCutOffByWhatCannotBeReached(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := NewDomains()
+	must.False(t, d.Unreachable("south", "a", 5, now))
+	must.False(t, d.Unreachable("south", "a", 5, now), must.Sprint("the same target again"))
+	must.False(t, d.Unreachable("south", "b", 5, now))
+	must.True(t, d.Unreachable("south", "c", 5, now))
+	must.False(t, d.Unreachable("south", "d", 5, now), must.Sprint("no news"))
+	must.True(t, d.IsCut("south"))
+	must.True(t, d.Reached("south"))
+	must.False(t, d.IsCut("south"))
+	must.False(t, d.Unreachable("south", "a", 5, now), must.Sprint("old evidence is gone"))
+}
+
+func TestEvidenceAges(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := NewDomains()
+	d.Unreachable("south", "a", 5, now)
+	d.Unreachable("south", "b", 5, now)
+	must.False(t, d.Unreachable("south", "c", 5, now.Add(2*time.Second)))
+}
+
+func TestASingleTargetIsNoDomain(t *testing.T) {
+	must.False(t, NewDomains().Unreachable("south", "a", 1, time.Time{}.Add(time.Hour)))
+}
--- a/internal/coordination/outlier/outlier.go
+++ b/internal/coordination/outlier/outlier.go
@@ -46,6 +46,7 @@
 	ejectedUntil time.Time
 	ejection     time.Duration // of the last one
 	lastFailure  time.Time
+	held         bool // left alone until released
 	silences     int  // silent or unreachable in a row
 	trial        bool // one request is trying the target after an ejection
 	trialSince   time.Time
@@ -97,8 +98,24 @@
 	return true
 }
 
-// Eject leaves a target alone for what shows elsewhere than in its exchanges.
-func (t *Tracker) Eject(id string, now time.Time) { t.record(id).eject(now) }
+// Hold leaves a target alone until Release, for what shows elsewhere than in its
+// exchanges.
+func (t *Tracker) Hold(id string) { t.record(id).held = true }
+
+// Release ends a hold, and the ejections that had the same cause.
+func (t *Tracker) Release(id string) {
+	known := t.record(id)
+	known.held = false
+	known.ejectedUntil = time.Time{}
+	known.ejection = 0
+	known.silences = 0
+}
+
+// Held reports whether a target is held.
+func (t *Tracker) Held(id string) bool {
+	known := t.records[id]
+	return known != nil && known.held
+}
 
 func (t *Tracker) record(id string) *record {
 	known := t.records[id]
@@ -122,7 +139,13 @@
 // Ejected reports whether a target is to be left alone.
 func (t *Tracker) Ejected(id string, now time.Time) bool {
 	known := t.records[id]
-	if known == nil || known.ejectedUntil.IsZero() {
+	if known == nil {
+		return false
+	}
+	if known.held {
+		return true
+	}
+	if known.ejectedUntil.IsZero() {
 		return false
 	}
 	if now.Before(known.ejectedUntil) {
--- a/internal/coordination/outlier/outlier_test.go
+++ b/internal/coordination/outlier/outlier_test.go
@@ -66,3 +66,14 @@
 	tracker.Forget(func(string) bool { return false })
 	must.False(t, tracker.Ejected("e", start))
 }
+
+func TestHeldTargetIsLeftAloneUntilReleased(t *testing.T) {
+	tracker := New()
+	tracker.Note("e", Unreachable, 0, start)
+	tracker.Hold("e")
+	must.True(t, tracker.Ejected("e", start.Add(time.Hour)))
+	must.True(t, tracker.Held("e"))
+	tracker.Release("e")
+	must.False(t, tracker.Ejected("e", start))
+	must.False(t, tracker.Held("e"))
+}
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
 )
 
@@ -200,3 +201,33 @@
 		must.StrContains(t, line, "400")
 	})
 }
+
+// Belief about a failure domain is one for all its targets: requests must not find
+// each of them dead again.
+func TestCutOffDomainIsTriedByConnectionsAlone(t *testing.T) {
+	f, writers, _ := newFleet(t)
+	for _, writer := range writers {
+		f.store.Put(platform.KindTargets, writer.ID, writer.Entry("writers", "south", "ready"))
+	}
+	f.addTarget("writer-c", "writers", true)
+	f.eventually(func() bool { return len(f.daemon.control.domainTargets("south")) == 2 })
+	for _, writer := range writers {
+		for _, target := range f.daemon.control.domainTargets("south") {
+			if target.ID == writer.ID {
+				f.daemon.control.unreachable(target)
+			}
+		}
+	}
+	for _, id := range []string{"q1", "q2", "q3", "q4"} {
+		status, _, _ := f.do(call{method: "POST", path: "/queries/" + id, id: id})
+		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, 0, runsOf(id, writers[:]...))
+	}
+	// The targets answer to connections, so the domain is believed again.
+	f.daemon.cutOff("south", "test")
+	f.eventually(func() bool {
+		cut := true
+		f.daemon.control.do(func() { cut = f.daemon.control.domains.IsCut("south") })
+		return !cut
+	})
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/attempt"
+	"hemlockknot/internal/coordination/cutoff"
 	"hemlockknot/internal/coordination/outlier"
 	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/coordination/roster"
@@ -24,6 +25,8 @@
 	roster  *roster.Roster
 	targets *placement.Table
 	outlier *outlier.Tracker
+	domains *cutoff.Domains
+	domain  string // this daemon's
 	budgets map[string]*attempt.Budget
 	policy  budgetPolicy
 	loaded  bool          // the list of targets has been read
@@ -44,6 +47,8 @@
 		roster:  roster.New(),
 		targets: placement.NewTable(domain, time.Now()),
 		outlier: outlier.New(),
+		domains: cutoff.NewDomains(),
+		domain:  domain,
 		budgets: make(map[string]*attempt.Budget),
 		policy:  policy,
 		listed:  make(chan struct{}),
@@ -85,6 +90,9 @@
 	listed := make(map[string]bool, len(members))
 	for _, member := range members {
 		listed[member.Target.ID] = true
+		if c.domains.IsCut(member.Target.FailureDomain) {
+			c.outlier.Hold(member.Target.ID)
+		}
 	}
 	c.outlier.Forget(func(id string) bool { return listed[id] })
 }
@@ -188,8 +196,9 @@
 		}
 		choice = c.targets.Choose(query, now)
 		if choice.Target == nil {
-			// All are ejected: any that was not tried is better than none.
-			query.Excluded = func(id string) bool { return tried[id] }
+			// All are ejected: any that was not tried is better than none, but for
+			// those that cannot be reached.
+			query.Excluded = func(id string) bool { return tried[id] || c.outlier.Held(id) }
 			choice = c.targets.Choose(query, now)
 		}
 		if choice.Target != nil {
@@ -215,27 +224,71 @@
 		now := time.Now()
 		if outcome == outlier.Served {
 			c.outlier.Recovered(target.ID)
+			c.domains.Answered(target.FailureDomain)
 		}
 		ejected = c.outlier.Note(target.ID, outcome, c.commonFailures(target.Service, now), now)
 	})
 	return ejected
 }
 
-// ejectDomain leaves all targets of a failure domain alone for a while. It
-// returns those that were not left alone before.
-func (c *control) ejectDomain(domain string) []*fleet.Target {
-	var ejected []*fleet.Target
+// cutDomain notes that a failure domain is cut off, and reports whether that is
+// news.
+func (c *control) cutDomain(domain string) bool {
+	news := false
 	c.do(func() {
-		now := time.Now()
-		for _, member := range c.roster.Members() {
-			target := member.Target
-			if target.FailureDomain == domain && !c.outlier.Ejected(target.ID, now) {
-				c.outlier.Eject(target.ID, now)
-				ejected = append(ejected, target)
-			}
+		news = c.domains.Cut(domain)
+		c.hold(domain, news)
+	})
+	return news
+}
+
+// unreachable notes that a target does not answer to a new connection, and
+// reports whether its failure domain counts as cut off from now on.
+func (c *control) unreachable(target *fleet.Target) bool {
+	news := false
+	c.do(func() {
+		count := len(c.inDomain(target.FailureDomain))
+		news = target.FailureDomain != c.domain && c.domains.Unreachable(target.FailureDomain, target.ID, count, time.Now())
+		c.hold(target.FailureDomain, news)
+	})
+	return news
+}
+
+// hold leaves a domain's targets alone if it has just been cut off.
+func (c *control) hold(domain string, news bool) {
+	if !news {
+		return
+	}
+	for _, target := range c.inDomain(domain) {
+		c.outlier.Hold(target.ID)
+	}
+}
+
+// reachedDomain notes that a failure domain answers.
+func (c *control) reachedDomain(domain string) {
+	c.do(func() {
+		c.domains.Reached(domain)
+		for _, target := range c.inDomain(domain) {
+			c.outlier.Release(target.ID)
 		}
 	})
-	return ejected
+}
+
+// domainTargets returns the targets of a failure domain.
+func (c *control) domainTargets(domain string) []*fleet.Target {
+	var targets []*fleet.Target
+	c.do(func() { targets = c.inDomain(domain) })
+	return targets
+}
+
+func (c *control) inDomain(domain string) []*fleet.Target {
+	var targets []*fleet.Target
+	for _, member := range c.roster.Members() {
+		if member.Target.FailureDomain == domain {
+			targets = append(targets, member.Target)
+		}
+	}
+	return targets
 }
 
 // commonFailures returns the share of exchanges that fail at a service.
--- a/internal/gateway/flows.go
+++ b/internal/gateway/flows.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -9,9 +8,6 @@
 	"hemlockknot/internal/state/fleet"
 )
 
-// flowInterval is how often silence is looked for.
-const flowInterval = 40 * time.Millisecond
-
 // flows are the streams that have begun, by failure domain.
 type flows struct {
 	mu      sync.Mutex
@@ -82,8 +78,12 @@
 func (f *flows) giveUp(domain string, retryLeft map[string]bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := f.domains[domain]
+	if known == nil {
+		return 0
+	}
 	moved := 0
-	for stream := range f.domains[domain].streams {
+	for stream := range known.streams {
 		if stream.giveUp != nil && retryLeft[stream.target.Service] {
 			stream.giveUp()
 			moved++
@@ -91,37 +91,3 @@
 	}
 	return moved
 }
-
-// watchFlows looks for failure domains that were cut off, until the context
-// ends.
-func (g *Gateway) watchFlows(ctx context.Context) {
-	ticker := time.NewTicker(flowInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, domain := range cutoff.Silent(g.flows.seen(), g.settings.FailureDomain, now) {
-				g.cutOff(domain)
-			}
-		}
-	}
-}
-
-// cutOff leaves a failure domain's targets alone, and moves the streams that may
-// go on elsewhere.
-func (g *Gateway) cutOff(domain string) {
-	targets := g.control.ejectDomain(domain)
-	if len(targets) == 0 {
-		return // known already
-	}
-	retryLeft := make(map[string]bool)
-	for _, target := range targets {
-		g.pool.Drop(target.Address)
-		retryLeft[target.Service] = g.control.retryLeft(target.Service)
-	}
-	moved := g.flows.giveUp(domain, retryLeft)
-	g.metrics.domainCut()
-	g.log.Warn("failure domain is silent, its targets are left alone", "domain", domain, "targets", len(targets), "streams_moved", moved)
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -173,6 +173,9 @@
 	case !failed.Sent:
 		t.reason = "unreachable"
 		g.note(t, outlier.Unreachable, !left)
+		if failed.Silent && !left && g.control.unreachable(t.choice.Target) {
+			g.cutOff(t.choice.Target.FailureDomain, "unreachable")
+		}
 		return attempt.NotSent
 	case failed.Silent:
 		t.reason = "silent"
