Tell new engines by their start when prompts are fetched

Cause: a restarted daemon took every engine that it found for an old one, so the sessions of new engines were read again there rather than fetched. The time of day is used for this choice alone; when it is wrong a prompt is fetched or read in vain.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -30,7 +30,9 @@
 	localSlack = 2.0
 	// settledAfter is how long an engine must be known until its sessions are
 	// taken to be warm there.
-	settledAfter = 30 * time.Second
+	settledAfter = time.Minute
+	// startSpread is within what time engines come that start together.
+	startSpread = 2 * time.Second
 	// preferred is how many of a session's engines are considered in its order.
 	preferred = 4
 	// memoryLimit bounds the remembered dispatches. Forgetting them costs fetches
@@ -202,7 +204,7 @@
 // first below the load bound; above it on all, the least loaded engine.
 func (t *Table) bySession(candidates []*candidate, query Query, now time.Time) Choice {
 	var order [preferred]ranked // of those that may be chosen
-	var home, older ranked      // first of all that hold prompts; first settled
+	var home ranked             // first of all that hold prompts
 	var idlest *candidate
 	idlestLoad, sum, count := 0.0, 0.0, 0
 	at := now.Sub(t.started)
@@ -211,9 +213,6 @@
 		if next.ahead(home) && query.Reachable(known.target.ID) {
 			home = next
 		}
-		if next.ahead(older) && t.settled(known, now) && query.Reachable(known.target.ID) {
-			older = next
-		}
 		if known.target.Draining {
 			continue
 		}
@@ -240,7 +239,7 @@
 			break
 		}
 	}
-	made := choice(chosen, t.source(chosen, home.candidate, older.candidate, query), sum, count, at)
+	made := choice(chosen, t.source(chosen, home.candidate, query, now), sum, count, at)
 	if first := home.candidate; first != nil {
 		made.Home, made.HomeLoad = first.target, first.load.estimate(at)
 	}
@@ -251,7 +250,7 @@
 // of the prompt: the engine to which this daemon last sent the session, else the
 // session's own engine, else the one that was so before a new one came, else one
 // that has the beginning of the prompt.
-func (t *Table) source(chosen, home, older *candidate, query Query) *candidate {
+func (t *Table) source(chosen, home *candidate, query Query, now time.Time) *candidate {
 	if _, sent := t.warm[dispatched{query.Session, chosen}]; sent {
 		return nil
 	}
@@ -262,8 +261,10 @@
 	if home != nil && home != chosen {
 		return home
 	}
-	if older != nil && older != chosen {
-		return older
+	if t.young(chosen, now) {
+		if before := t.predecessor(chosen, query); before != nil {
+			return before
+		}
 	}
 	for i := len(shared) - 2; i >= 0; i-- {
 		if last := t.lastWith(shared[i], query); last != nil && last != chosen {
@@ -273,6 +274,38 @@
 	return nil
 }
 
+// young reports whether an engine's sessions may still lie where they were before
+// it came. The time of day may be wrong by seconds; that costs a fetch or a
+// reading.
+func (t *Table) young(known *candidate, now time.Time) bool {
+	if known.target.Born > 0 {
+		return now.Sub(time.UnixMilli(known.target.Born)) < settledAfter
+	}
+	return now.Sub(known.seen) < settledAfter && known.seen.Sub(t.started) > startSpread
+}
+
+// predecessor returns the session's first engine of those that were there before
+// a new one.
+func (t *Table) predecessor(newer *candidate, query Query) *candidate {
+	var best ranked
+	for _, known := range t.services[query.Service] {
+		next := ranked{known, mix(query.Session ^ known.seed)}
+		if next.ahead(best) && known.before(newer) && query.Reachable(known.target.ID) {
+			best = next
+		}
+	}
+	return best.candidate
+}
+
+// before reports whether an engine was there before another: engines that start
+// together come within startSpread.
+func (c *candidate) before(other *candidate) bool {
+	if c.target.Born > 0 && other.target.Born > 0 {
+		return other.target.Born-c.target.Born > startSpread.Milliseconds()
+	}
+	return other.seen.Sub(c.seen) > startSpread
+}
+
 // lastWith returns the engine that this daemon last sent a part to, if it is
 // still there.
 func (t *Table) lastWith(part relay.Part, query Query) *candidate {
@@ -283,12 +316,6 @@
 	return last
 }
 
-// settled reports whether an engine has been known for long, or since this
-// daemon has started.
-func (t *Table) settled(known *candidate, now time.Time) bool {
-	return now.Sub(known.seen) >= settledAfter || known.seen.Sub(t.started) < settledAfter/10
-}
-
 func choice(chosen, source *candidate, sum float64, count int, at time.Duration) Choice {
 	if chosen == nil {
 		return Choice{}
