--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -154,3 +154,23 @@
 	}
 	must.MapLen(t, daemons, seen)
 }
+
+func TestFirstOfADomainAreTheSameForAll(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	random := rand.New(rand.NewPCG(1, 1))
+	table := New(&peerpb.Member{Name: "c", FailureDomain: "north"})
+	must.True(t, table.Among(1, now))
+	table.Merge([]*peerpb.Member{
+		{Name: "a", FailureDomain: "north", Heartbeat: 1}, {Name: "b", FailureDomain: "north", Heartbeat: 1, Leaving: true},
+		{Name: "z", FailureDomain: "north", Heartbeat: 1}, {Name: "0", FailureDomain: "south", Heartbeat: 1},
+	}, now)
+	must.False(t, table.Among(1, now))
+	must.True(t, table.Among(2, now))
+	must.True(t, table.Among(1, now.Add(firstSilence)))
+	partners := table.Partners(random, now)
+	must.Len(t, 2, partners)
+	must.Eq(t, "north", partners[0].GetFailureDomain())
+	must.Eq(t, "south", partners[1].GetFailureDomain())
+	must.Len(t, 3, table.Sample(random, 3, now))
+	must.Eq(t, 5, table.Known())
+}
--- a/internal/coordination/member/partners.go
+++ b/internal/coordination/member/partners.go
@@ -61,3 +61,23 @@
 		Incarnation: member.GetIncarnation(), Heartbeat: known.heartbeat, Leaving: member.GetLeaving(),
 	}
 }
+
+// firstSilence is how long a member may be silent and still counts as one of the
+// first of its domain. It is longer than DownAfter, so that views that differ for
+// a moment change nothing.
+const firstSilence = 3 * DownAfter
+
+// Among reports whether this daemon is one of the first of its failure domain, by
+// name, of those that were heard of lately and are not leaving.
+func (t *Table) Among(first int, now time.Time) bool {
+	ahead := 0
+	for name, peer := range t.peers {
+		if peer.member.GetFailureDomain() != t.self.GetFailureDomain() || peer.member.GetLeaving() {
+			continue
+		}
+		if name < t.self.GetName() && now.Sub(peer.rose) < firstSilence {
+			ahead++
+		}
+	}
+	return ahead < first
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,6 +48,7 @@
 	stopped chan error
 	client  *http.Client
 	grace   time.Duration // of the daemon's stop
+	peers   int           // daemons that were started besides
 }
 
 // document is a configuration with one route of each kind.
@@ -105,8 +107,9 @@
 // peer returns a fleet of a second daemon, which knows the first one as a seed.
 // The store at its address, which may be none, may be another than the first's.
 func (f *testFleet) peer(storeAddress string) *testFleet {
+	f.peers++
 	second := &testFleet{t: f.t, store: f.store, client: f.client, grace: f.grace}
-	second.startWith(platform.Settings{Host: "front-2", StoreAddress: storeAddress, Seeds: []string{f.daemon.others.Addr().String()}})
+	second.startWith(platform.Settings{Host: fmt.Sprint("front-", 1+f.peers), StoreAddress: storeAddress, Seeds: []string{f.daemon.others.Addr().String()}})
 	return second
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,8 @@
 	})
 	g.store.Called = g.metrics.storeCall
 	g.pool.Dialed = g.metrics.dialed
-	g.targets = newTargetList(g)
 	g.peers = newPeers(g, self(settings, others))
+	g.targets = newTargetList(g)
 	g.callers = newCallerServer(http.HandlerFunc(g.serve), g.idleTimeout)
 	return g, nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,10 +17,15 @@
 	// reaches all in a few rounds, within the bounds of a configuration.
 	exchangeInterval = 400 * time.Millisecond
 	// gossiped is how many daemons' entries go with an exchange.
-	gossiped = 16
+	gossiped = 8
 	// behindAfter is how long a peer may know a later change to the list of
 	// targets before this daemon takes its own watch for dead.
 	behindAfter = 500 * time.Millisecond
+	// lookouts of each failure domain follow the store; the others are told.
+	lookouts = 3
+	// trusted is how old what peers tell may be, by the store's last answer. A
+	// lookout's answers come every 2 s at least.
+	trusted = 5 * time.Second
 )
 
 // peers exchanges with other daemons what the store has told them: one that the
@@ -35,15 +40,20 @@
 	mu     sync.Mutex
 	table  *member.Table
 	behind time.Time // since when a peer knows a later list; zero if none does
+	// answered is when the store last answered this daemon, by kind of objects, and
+	// told when it last answered a peer, as far as peers have told.
+	answered map[string]time.Time
+	told     time.Time
 }
 
 func newPeers(g *Gateway, self *peerpb.Member) *peers {
 	p := &peers{
-		gateway: g,
-		client:  mesh.NewClient(g.metrics.peerBytes),
-		random:  rand.New(rand.NewPCG(self.GetIncarnation(), 0)),
-		hurry:   make(chan string, 1),
-		table:   member.New(self),
+		gateway:  g,
+		client:   mesh.NewClient(g.metrics.peerBytes),
+		random:   rand.New(rand.NewPCG(self.GetIncarnation(), 0)),
+		hurry:    make(chan string, 1),
+		table:    member.New(self),
+		answered: make(map[string]time.Time),
 	}
 	for _, seed := range g.settings.Seeds {
 		if seed != self.GetAddress() {
@@ -124,6 +134,7 @@
 		DocumentVersion: version,
 		TargetsRevision: p.gateway.targets.lastChange(),
 		StoreAway:       !p.gateway.targets.following(),
+		StoreAgeMs:      uint32(p.storeAge(time.Now()).Milliseconds()),
 	}
 }
 
@@ -133,8 +144,12 @@
 		ours.Document = spec
 	}
 	if theirs.GetStoreAway() && ours.GetTargetsRevision() > theirs.GetTargetsRevision() {
-		for _, object := range p.gateway.targets.objects() {
-			ours.Targets = append(ours.Targets, &peerpb.StoreObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec})
+		changes, whole := p.gateway.targets.since(theirs.GetTargetsRevision())
+		ours.Whole = whole
+		for _, change := range changes {
+			ours.Targets = append(ours.Targets, &peerpb.StoreObject{
+				Name: change.Object.Name, Revision: change.Object.Revision, Spec: change.Object.Spec, Deleted: change.Deleted,
+			})
 		}
 	}
 }
@@ -145,11 +160,12 @@
 		p.gateway.takeSpec(spec, "peer")
 	}
 	if entries := theirs.GetTargets(); len(entries) > 0 {
-		var objects []platform.Object
+		var changes []platform.Change
 		for _, entry := range entries {
-			objects = append(objects, platform.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Spec: entry.GetSpec()})
+			object := platform.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Spec: entry.GetSpec()}
+			changes = append(changes, platform.Change{Object: object, Deleted: entry.GetDeleted()})
 		}
-		p.gateway.targets.fromPeer(objects, theirs.GetTargetsRevision())
+		p.gateway.targets.fromPeer(changes, theirs.GetWhole(), theirs.GetTargetsRevision())
 	}
 	if p.notice(theirs) {
 		p.gateway.log.Warn("a peer knows a later list of targets, asking the store again", "revision", theirs.GetTargetsRevision())
@@ -164,7 +180,12 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.table.Merge(theirs.GetMembers(), now)
+	if told := now.Add(-time.Duration(theirs.GetStoreAgeMs()) * time.Millisecond); told.After(p.told) {
+		p.told = told
+	}
 	switch {
+	case !p.gateway.targets.following():
+		p.behind = time.Time{}
 	case theirs.GetTargetsRevision() <= p.gateway.targets.lastChange():
 		p.behind = time.Time{}
 	case p.behind.IsZero():
@@ -176,6 +197,40 @@
 	return false
 }
 
+// confirm notes an answer of the store.
+func (p *peers) confirm(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered[kind] = time.Now()
+}
+
+// storeAge returns how long ago the store confirmed what this daemon knows, to it
+// or to a peer that has told it.
+func (p *peers) storeAge(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	confirmed := p.answered[platform.KindDocument]
+	if targets := p.answered[platform.KindTargets]; targets.Before(confirmed) {
+		confirmed = targets
+	}
+	if p.told.After(confirmed) {
+		confirmed = p.told
+	}
+	return min(max(now.Sub(confirmed), 0), time.Hour)
+}
+
+// lookout reports whether this daemon is to follow the store itself: it is one of
+// the first of its failure domain, or what peers tell is old.
+func (p *peers) lookout() bool {
+	now := time.Now()
+	if p.storeAge(now) > trusted {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Among(lookouts, now)
+}
+
 // known returns how many daemons there are, as far as is known.
 func (p *peers) known() int {
 	p.mu.Lock()
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -47,8 +47,9 @@
 	t.Cleanup(stale.Close)
 	// The second daemon's store has what the first one's had, and tells of no
 	// change.
-	for _, object := range f.daemon.targets.objects() {
-		stale.PutRaw(platform.KindTargets, object.Name, object.Spec)
+	entries, _ := f.daemon.targets.since(0)
+	for _, entry := range entries {
+		stale.PutRaw(platform.KindTargets, entry.Object.Name, entry.Object.Spec)
 	}
 	stale.Put(platform.KindDocument, platform.DocumentName, document(1, key))
 	second := f.peer(stale.Address())
@@ -64,3 +65,23 @@
 	second := f.peer(f.store.Address())
 	f.eventually(func() bool { return f.daemon.peers.known() == 2 && second.daemon.peers.known() == 2 })
 }
+
+func TestOnlyTheFirstOfADomainFollowTheStore(t *testing.T) {
+	f, _, _ := newFleet(t)
+	fleets := []*testFleet{f}
+	for range lookouts {
+		fleets = append(fleets, f.peer(f.store.Address()))
+	}
+	last := fleets[lookouts]
+	last.eventually(func() bool { return !last.daemon.targets.following() })
+	for _, first := range fleets[:lookouts] {
+		must.True(t, first.daemon.peers.lookout())
+	}
+	// What the last one is told is in force within the bound.
+	added := f.addTarget("desk-c", "desk", false)
+	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	last.eventually(func() bool { return last.read("r1", "new-key") == http.StatusOK })
+	f.store.Delete(platform.KindTargets, "desk-a")
+	f.store.Delete(platform.KindTargets, "desk-b")
+	last.eventually(func() bool { return last.read("r2", "new-key") == http.StatusOK && runsOf("r2", added) > 0 })
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -22,6 +22,12 @@
 	// Pauses after a failed call, doubled each time.
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
+	// gatherPause lets changes that come together be told in one answer, as each
+	// answer is a call.
+	gatherPause = 200 * time.Millisecond
+	// idlePause is how often a daemon that need not follow the store asks whether
+	// it must.
+	idlePause = 200 * time.Millisecond
 	// awayAfter failed calls in a row the store counts as away.
 	awayAfter = 2
 )
@@ -35,8 +41,12 @@
 	// store was away before.
 	replace func(objects []platform.Object, returned bool)
 	change  func(changes []platform.Change, returned bool)
-	// lost is told when the store counts as away.
+	// lost is told when the store is not followed any more.
 	lost func()
+	// confirmed is told of each answer of the store.
+	confirmed func()
+	// needed reports whether this daemon is to follow the store itself.
+	needed func() bool
 
 	failures int
 
@@ -46,7 +56,7 @@
 }
 
 func newWatcher(kind string, store *platform.Store, log logger) *watcher {
-	return &watcher{kind: kind, store: store, log: log, lost: func() {}, cancel: func() {}}
+	return &watcher{kind: kind, store: store, log: log, lost: func() {}, confirmed: func() {}, needed: func() bool { return true }, cancel: func() {}}
 }
 
 // again breaks off the call in progress, as its connection seems dead.
@@ -77,19 +87,25 @@
 // run lists and watches until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !w.needed() {
+			w.lost()
+			pauseFor(ctx, idlePause)
+			continue
+		}
 		objects, revision, err := w.store.List(w.begin(ctx), w.kind)
 		if err != nil {
 			w.failed(ctx, err)
 			continue
 		}
+		w.confirmed()
 		w.replace(objects, w.returned())
 		w.follow(ctx, revision)
 	}
 }
 
-// follow watches until a list is needed again.
+// follow watches until a list is needed again, or nothing is.
 func (w *watcher) follow(ctx context.Context, revision int64) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && w.needed() {
 		changes, next, err := w.store.Watch(w.begin(ctx), w.kind, revision, w.wait())
 		if errors.Is(err, platform.ErrHistoryGone) {
 			w.log.Warn("history of the store is gone, listing again", "kind", w.kind, "revision", revision)
@@ -99,9 +115,11 @@
 			w.failed(ctx, err)
 			continue
 		}
+		w.confirmed()
 		returned := w.returned()
 		if len(changes) > 0 || returned {
 			w.change(changes, returned)
+			pauseFor(ctx, gatherPause)
 		}
 		revision = next
 	}
@@ -128,6 +146,10 @@
 	pause := min(maxPause, minPause<<min(w.failures-1, 8))
 	// Up to half is random, so that the daemons do not come back together.
 	pause -= time.Duration(rand.Int64N(int64(pause) / 2))
+	pauseFor(ctx, pause)
+}
+
+func pauseFor(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(pause):
@@ -148,6 +170,8 @@
 // watchDocument follows the configuration.
 func (g *Gateway) watchDocument(ctx context.Context) {
 	w := newWatcher(platform.KindDocument, g.store, g.log)
+	w.needed = g.peers.lookout
+	w.confirmed = func() { g.peers.confirm(platform.KindDocument) }
 	w.replace = func(objects []platform.Object, _ bool) {
 		for _, object := range objects {
 			g.takeDocument(object)
