Split the relay, share the mixer and the socket option, drop unused tracking

No change of behaviour. The test of a cut-off domain waits for all its targets: since changes are gathered, the last one could come after the first request.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/coordination/roster"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/fleet"
@@ -209,7 +210,7 @@
 	idlestLoad, sum, count := 0.0, 0.0, 0
 	at := now.Sub(t.started)
 	for _, known := range candidates {
-		next := ranked{known, mix(query.Session ^ known.seed)}
+		next := ranked{known, ranking.Mix(query.Session ^ known.seed)}
 		if next.ahead(home) && query.Reachable(known.target.ID) {
 			home = next
 		}
@@ -289,7 +290,7 @@
 func (t *Table) predecessor(newer *candidate, query Query) *candidate {
 	var best ranked
 	for _, known := range t.services[query.Service] {
-		next := ranked{known, mix(query.Session ^ known.seed)}
+		next := ranked{known, ranking.Mix(query.Session ^ known.seed)}
 		if next.ahead(best) && known.before(newer) && query.Reachable(known.target.ID) {
 			best = next
 		}
@@ -359,13 +360,3 @@
 	}
 	t.warm[key] = struct{}{}
 }
-
-// mix is the finalizer of splitmix64: it spreads a change of any bit.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
--- a/internal/coordination/ranking/ranking.go
+++ b/internal/coordination/ranking/ranking.go
@@ -69,13 +69,13 @@
 // score is -weight/ln(u) with u uniform in (0,1): a candidate wins a share of
 // the keys in proportion to its weight.
 func score(key uint64, candidate Candidate) float64 {
-	mixed := mix(key ^ xxhash.Sum64String(candidate.Name))
+	mixed := Mix(key ^ xxhash.Sum64String(candidate.Name))
 	uniform := (float64(mixed>>11) + 0.5) / (1 << 53)
 	return -candidate.Weight / math.Log(uniform)
 }
 
-// mix is the finalizer of splitmix64: it spreads a change of any bit.
-func mix(x uint64) uint64 {
+// Mix is the finalizer of splitmix64: it spreads a change of any bit.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/internal/coordination/ranking/ranking_test.go
+++ b/internal/coordination/ranking/ranking_test.go
@@ -46,7 +46,7 @@
 	candidates := testCandidates(6) // weights 1, 2, 3, 1, 2, 3
 	won := make(map[string]int)
 	for key := range uint64(keys) {
-		won[Order(mix(key+1), candidates)[0]]++
+		won[Order(Mix(key+1), candidates)[0]]++
 	}
 	for _, candidate := range candidates {
 		expected := keys * candidate.Weight / 12
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -210,7 +210,10 @@
 		f.store.Put(platform.KindTargets, writer.ID, writer.Entry("writers", "south", "ready"))
 	}
 	f.addTarget("writer-c", "writers", true)
-	f.eventually(func() bool { return len(f.daemon.control.domainTargets("south")) == 2 })
+	f.eventually(func() bool {
+		north := f.daemon.control.domainTargets("north") // the desks and the new one
+		return len(f.daemon.control.domainTargets("south")) == 2 && len(north) == 3
+	})
 	for _, writer := range writers {
 		for _, target := range f.daemon.control.domainTargets("south") {
 			if target.ID == writer.ID {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -11,7 +9,6 @@
 	"hemlockknot/internal/coordination/outlier"
 	"hemlockknot/internal/coordination/pacing"
 	"hemlockknot/internal/coordination/placement"
-	"hemlockknot/internal/protocol/events"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/transport/exchange"
 	"hemlockknot/platform"
@@ -39,13 +36,6 @@
 	reason    string    // why the last try was not the final one
 }
 
-// whole is an answer that has been read to its end.
-type whole struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // relay sends a request to targets until it has its final answer.
 func (g *Gateway) relay(j *job) {
 	t := &journey{
@@ -209,161 +199,3 @@
 	g.deliver(t, read)
 	return attempt.Answered
 }
-
-// deliver sends a target's whole answer to the caller.
-func (g *Gateway) deliver(t *journey, answer *whole) {
-	copyHeader(t.w.Header(), platform.AnswerHeader(answer.header))
-	t.firstByte = time.Now()
-	t.w.WriteHeader(answer.status)
-	_, _ = t.w.Write(answer.body)
-}
-
-// copyHeader sets the headers of an answer, and keeps net/http from adding a
-// type of content that the target did not name.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	if _, found := from["Content-Type"]; !found {
-		to["Content-Type"] = nil
-	}
-}
-
-// stream passes events on as they come, whole ones only.
-func (g *Gateway) stream(t *journey, answer *exchange.Answer) attempt.Event {
-	reader := events.NewReader(answer)
-	flowing := g.flows.begin(t.choice.Target, giveUp(t, answer))
-	defer g.flows.end(flowing)
-	for {
-		answer.Within(pacing.Pause(t.route, g.limit(t)))
-		event, err := reader.Next()
-		if errors.Is(err, io.EOF) {
-			return g.streamEnded(t, answer)
-		}
-		if err != nil {
-			flush(t) // what has come is the caller's, also if nothing follows
-			return g.streamBroken(t, err)
-		}
-		g.flows.event(flowing)
-		if event.ID != 0 && event.ID <= t.lastEvent {
-			continue // the caller has it
-		}
-		if !g.pass(t, answer, event, reader.Buffered()) {
-			g.note(t, outlier.Served, false)
-			return attempt.Answered
-		}
-	}
-}
-
-// giveUp returns what ends the wait for a stream's next event, nil if no other
-// target may go on.
-func giveUp(t *journey, answer *exchange.Answer) func() {
-	if !t.state.AnotherAfterThis() {
-		return nil
-	}
-	return func() { answer.Within(0) }
-}
-
-// pass sends one event to the caller; the first one sends the headers before it.
-func (g *Gateway) pass(t *journey, answer *exchange.Answer, event events.Event, more bool) bool {
-	g.begin(t, answer)
-	if _, err := t.w.Write(event.Bytes); err != nil {
-		return false
-	}
-	t.lastEvent = max(t.lastEvent, event.ID)
-	if more {
-		return true
-	}
-	return flush(t)
-}
-
-// flush sends what has been written of an answer that has begun.
-func flush(t *journey) bool {
-	return t.firstByte.IsZero() || http.NewResponseController(t.w).Flush() == nil
-}
-
-// begin sends the headers of a stream. They are those of its first target.
-func (g *Gateway) begin(t *journey, answer *exchange.Answer) {
-	if !t.firstByte.IsZero() {
-		return
-	}
-	t.firstByte = time.Now()
-	copyHeader(t.w.Header(), platform.AnswerHeader(answer.Header))
-	t.w.WriteHeader(answer.Status)
-	t.state.Began()
-}
-
-func (g *Gateway) streamEnded(t *journey, answer *exchange.Answer) attempt.Event {
-	g.begin(t, answer)
-	g.note(t, outlier.Served, true)
-	return attempt.Answered
-}
-
-func (g *Gateway) streamBroken(t *journey, err error) attempt.Event {
-	left := t.r.Context().Err() != nil
-	t.reason = "stream_broken"
-	g.note(t, outlier.Broken, !left)
-	if !left {
-		g.log.Info("stream broke off", "request", t.call.ID, "target", t.choice.Target.ID, "after_event", t.lastEvent, "error", err)
-	}
-	if t.firstByte.IsZero() {
-		return attempt.Lost
-	}
-	return attempt.Interrupted
-}
-
-// conclude gives the request its final answer.
-func (g *Gateway) conclude(t *journey, verdict attempt.Verdict, event attempt.Event) {
-	result := "delivered"
-	switch {
-	case verdict == attempt.Abort:
-		g.finished(t, "aborted")
-		panic(http.ErrAbortHandler) // closes the connection in mid-answer
-	case verdict == attempt.Deliver && event == attempt.Answered:
-	case t.failure != nil && !errors.Is(t.r.Context().Err(), context.Canceled):
-		result = "failure_delivered"
-		g.deliver(t, t.failure)
-	case verdict == attempt.NotRun:
-		result = "not_run"
-		g.refuse(t.job, t.reason, pacing.ComeBack(shortage(event), time.Until(t.deadline)))
-	case verdict == attempt.Timeout:
-		result = "timed_out"
-		g.answer(t.job, http.StatusGatewayTimeout, "may have run: out of time", 0)
-	default:
-		result = "unknown"
-		g.answer(t.job, http.StatusBadGateway, "may have run: "+t.reason, 0)
-	}
-	g.finished(t, result)
-}
-
-// shortage returns why a request that has not run could not be served.
-func shortage(event attempt.Event) pacing.Shortage {
-	if event == attempt.Refused {
-		return pacing.Full
-	}
-	return pacing.Gone
-}
-
-// finished writes the line and the counts of a request that has ended.
-func (g *Gateway) finished(t *journey, result string) {
-	var firstByte time.Duration
-	if !t.firstByte.IsZero() {
-		firstByte = t.firstByte.Sub(t.arrived)
-	}
-	g.metrics.answered(result, firstByte)
-	fields := []any{
-		"request", t.call.ID, "result", result, "route", t.route.Name, "service", t.service, "version", t.version,
-		"tries", t.tries, "first_byte_ms", firstByte.Milliseconds(), "total_ms", time.Since(t.arrived).Milliseconds(),
-	}
-	if t.choice.Target != nil {
-		fields = append(fields, "target", t.choice.Target.ID, "load", t.choice.Load, "mean_load", t.choice.Mean, "fetched", t.choice.FetchFrom != nil)
-	}
-	if home := t.choice.Home; home != nil && home != t.choice.Target {
-		fields = append(fields, "home", home.ID, "home_draining", home.Draining, "home_load", t.choice.HomeLoad)
-	}
-	if result == "delivered" {
-		g.log.Info("request", fields...)
-		return
-	}
-	g.log.Warn("request", append(fields, "reason", t.reason)...)
-}
--- a/internal/transport/exchange/conn.go
+++ b/internal/transport/exchange/conn.go
@@ -13,8 +13,6 @@
 // kernel gives the connection up: a host that is cut off does not reset it.
 const unacknowledgedLimit = time.Second
 
-const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of linux/tcp.h
-
 // conn is one connection to a target. One request at a time uses it.
 type conn struct {
 	net.Conn
@@ -97,14 +95,3 @@
 	})
 	return err == nil && silent
 }
-
-func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(descriptor uintptr) {
-		failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedLimit.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -96,7 +96,7 @@
 	answer, failed := p.exchange(ctx, c, request)
 	if failed != nil {
 		stop()
-		p.discard(c)
+		_ = c.Close()
 		return nil, failed
 	}
 	answer.stop = stop
@@ -222,7 +222,7 @@
 func (a *Answer) Close() {
 	undisturbed := a.stop()
 	if !undisturbed || !a.ended || !a.Framed || a.keep <= 0 || !a.fullyWritten() || a.conn.reader.Buffered() > 0 {
-		a.pool.discard(a.conn)
+		_ = a.conn.Close()
 		return
 	}
 	a.pool.put(a.conn, a.keep)
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"hemlockknot/internal/transport/socket"
 )
 
 // Times and limits of connections.
@@ -32,7 +34,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the one used last comes last
-	open map[string]map[*conn]struct{}
 }
 
 // NewPool returns an empty pool.
@@ -40,7 +41,6 @@
 	return &Pool{
 		Dialed: func() {},
 		idle:   make(map[string][]*conn),
-		open:   make(map[string]map[*conn]struct{}),
 	}
 }
 
@@ -69,21 +69,6 @@
 	}
 }
 
-// Interrupt breaks off all exchanges with an address, and drops its idle
-// connections.
-func (p *Pool) Interrupt(address string) {
-	p.mu.Lock()
-	var busy []*conn
-	for c := range p.open[address] {
-		busy = append(busy, c)
-	}
-	p.mu.Unlock()
-	for _, c := range busy {
-		c.interrupt()
-	}
-	p.Drop(address)
-}
-
 // get returns a kept connection, or opens one.
 func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
 	now := time.Now()
@@ -93,36 +78,17 @@
 			break
 		}
 		if (!fresh || now.Sub(kept.kept) < lately) && kept.usable(now) {
-			p.opened(kept)
 			return kept, nil
 		}
 		_ = kept.Close()
 	}
 	p.Dialed()
-	dialer := net.Dialer{Timeout: DialTimeout, Control: limitUnacknowledged}
+	dialer := net.Dialer{Timeout: DialTimeout, Control: socket.LimitUnacknowledged(unacknowledgedLimit)}
 	inner, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(inner, address)
-	p.opened(c)
-	return c, nil
-}
-
-func (p *Pool) opened(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[c.address] == nil {
-		p.open[c.address] = make(map[*conn]struct{})
-	}
-	p.open[c.address][c] = struct{}{}
-}
-
-func (p *Pool) closed(c *conn) {
-	delete(p.open[c.address], c)
-	if len(p.open[c.address]) == 0 {
-		delete(p.open, c.address)
-	}
+	return newConn(inner, address), nil
 }
 
 func (p *Pool) take(address string) *conn {
@@ -143,7 +109,6 @@
 	c.kept = time.Now()
 	c.until = c.kept.Add(keep)
 	p.mu.Lock()
-	p.closed(c)
 	room := len(p.idle[c.address]) < keptPerTarget
 	if room {
 		p.idle[c.address] = append(p.idle[c.address], c)
@@ -154,13 +119,6 @@
 	}
 }
 
-func (p *Pool) discard(c *conn) {
-	p.mu.Lock()
-	p.closed(c)
-	p.mu.Unlock()
-	_ = c.Close()
-}
-
 func (p *Pool) sweep(now time.Time) {
 	var old []*conn
 	p.mu.Lock()
