--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,7 +17,7 @@
 	// reaches all in a few rounds, within the bounds of a configuration.
 	exchangeInterval = 400 * time.Millisecond
 	// gossiped is how many daemons' entries go with an exchange.
-	gossiped = 8
+	gossiped = 4
 	// behindAfter is how long a peer may know a later change to the list of
 	// targets before this daemon takes its own watch for dead.
 	behindAfter = 500 * time.Millisecond
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
 )
@@ -85,3 +90,28 @@
 	f.store.Delete(platform.KindTargets, "desk-b")
 	last.eventually(func() bool { return last.read("r2", "new-key") == http.StatusOK && runsOf("r2", added) > 0 })
 }
+
+// Control traffic must stay within 10 KB a second for each daemon at the target
+// size. Each daemon calls two others in an interval, and is called by two.
+func TestExchangesStayWithinTheControlBudget(t *testing.T) {
+	const (
+		daemons       = 470
+		budget        = 10_000 // bytes a second
+		rpcOverhead   = 60     // bytes of framing for each message
+		messagesEach  = 2 * 2 * 2
+		roundsASecond = float64(time.Second) / float64(exchangeInterval)
+	)
+	f, _, _ := newFleet(t)
+	var members []*peerpb.Member
+	for i := range daemons {
+		members = append(members, &peerpb.Member{
+			Name: fmt.Sprintf("front-porbandar-%d", i), Address: "10.123.45.67:8229", Place: "gujarat-coast",
+			FailureDomain: "porbandar", Incarnation: 1 << 60, Heartbeat: 1 << 20,
+		})
+	}
+	f.daemon.peers.merge(&peerpb.MeshState{Members: members})
+	state := f.daemon.peers.state(rand.New(rand.NewPCG(1, 1)))
+	must.Len(t, gossiped, state.GetMembers())
+	perSecond := float64(proto.Size(state)+rpcOverhead) * messagesEach * roundsASecond
+	must.LessEq(t, float64(budget), perSecond)
+}
