--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,12 +13,9 @@
 )
 
 const (
-	// exchangeInterval is how often a daemon that does not follow the store
-	// exchanges with two others. News reaches all in a few rounds, within the bounds
-	// of a configuration.
+	// exchangeInterval is how often a daemon exchanges with two others. News
+	// reaches all in a few rounds, within the bounds of a configuration.
 	exchangeInterval = 400 * time.Millisecond
-	// followingInterval is the same for one that follows the store.
-	followingInterval = time.Second
 	// gossiped is how many daemons' entries go with an exchange.
 	gossiped = 4
 	// behindAfter is how long a peer may know a later change to the list of
@@ -69,6 +66,8 @@
 // run exchanges until the context ends.
 func (p *peers) run(ctx context.Context) {
 	defer p.client.Close()
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
 	for {
 		for _, address := range p.addresses() {
 			p.exchange(ctx, address)
@@ -76,20 +75,13 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(p.interval()):
+		case <-ticker.C:
 		case address := <-p.hurry:
 			p.exchange(ctx, address)
 		}
 	}
 }
 
-func (p *peers) interval() time.Duration {
-	if p.gateway.targets.following() {
-		return followingInterval
-	}
-	return exchangeInterval
-}
-
 // addresses returns whom to exchange with: live daemons, or a seed as long as
 // none is known.
 func (p *peers) addresses() []string {
