--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -15,26 +15,22 @@
 
 func TestRequestReachesItsServiceUnchanged(t *testing.T) {
 	f, _, desks := newFleet(t)
-	status, header, body := f.do(call{method: "POST", path: "/bookings/x%2Fy?z=1", id: "b1", body: "catch", header: map[string]string{
-		"X-Tenant": "forged", "X-Hold": "forged", "X-Pin-Ms": "9", "X-Kv-Backup": "1.2.3.4:5", "Kv-From": "1.2.3.4:5/6", "X-Expect-Instance": "forged",
-	}})
+	status, header, body := f.do(standin.Call{Method: "POST", Path: "/bookings/x%2Fy?z=1", ID: "b1", Body: "catch", Forged: true})
 	must.Eq(t, http.StatusOK, status)
 	must.Eq(t, "answer to b1", body)
-	must.NotEq(t, "", header.Get("X-Response-Stamp"))
+	must.NotEq(t, "", standin.Signature(header))
 	must.Eq(t, 1, runsOf("b1", desks[:]...))
 	for _, run := range append(desks[0].Runs(), desks[1].Runs()...) {
 		must.Eq(t, "/bookings/x%2Fy?z=1", run.URI)
 		must.Eq(t, "catch", run.Body)
-		must.Eq(t, "members", run.Header.Get("X-Tenant"))
-		for _, name := range []string{"X-Key", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From"} {
-			must.Eq(t, "", run.Header.Get(name), must.Sprint(name))
-		}
+		must.Eq(t, standin.Workspace, run.Workspace())
+		must.SliceEmpty(t, run.Leaked())
 	}
 }
 
 func TestStreamIsWhole(t *testing.T) {
 	f, _, _ := newFleet(t)
-	status, _, body := f.do(call{method: "POST", path: "/queries/1", id: "q1"})
+	status, _, body := f.do(standin.Call{Method: "POST", Path: "/queries/1", ID: "q1"})
 	must.Eq(t, http.StatusOK, status)
 	must.Eq(t, standin.Stream(), body)
 }
@@ -45,7 +41,7 @@
 			f, _, desks := newFleet(t)
 			failBoth(desks, fault, fault, fault)
 			for _, id := range []string{"r1", "r2", "r3", "r4", "r5", "r6"} {
-				status, _, body := f.do(call{method: "GET", path: "/reads/1", id: id})
+				status, _, body := f.do(standin.Call{Method: "GET", Path: "/reads/1", ID: id})
 				must.Eq(t, http.StatusOK, status)
 				must.Eq(t, "answer to "+id, body)
 			}
@@ -56,27 +52,27 @@
 func TestOutcomes(t *testing.T) {
 	cases := []struct {
 		name   string
-		call   call
+		call   standin.Call
 		faults []standin.Fault
 		status int
 		runs   int
 	}{
-		{"a lost booking may have run, and is not sent again", call{method: "POST", path: "/bookings/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 1},
-		{"a refused booking has not run", call{method: "POST", path: "/bookings/1"}, []standin.Fault{standin.Full}, http.StatusServiceUnavailable, 0},
-		{"a failed booking is passed on", call{method: "POST", path: "/bookings/1"}, []standin.Fault{standin.FailRun}, http.StatusInternalServerError, 1},
-		{"a booking without an answer may have run", call{method: "POST", path: "/bookings/1", header: map[string]string{"X-Deadline-Ms": "200"}}, []standin.Fault{standin.Hang}, http.StatusGatewayTimeout, 1},
-		{"a lost read is sent once more", call{method: "GET", path: "/reads/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 2},
-		{"a failed read is sent once more", call{method: "GET", path: "/reads/1"}, []standin.Fault{standin.FailRun}, http.StatusInternalServerError, 2},
-		{"a read without an answer is sent once more", call{method: "GET", path: "/reads/1", header: map[string]string{"X-Deadline-Ms": "600"}}, []standin.Fault{standin.Hang}, http.StatusGatewayTimeout, 2},
-		{"a refused read has not run", call{method: "GET", path: "/reads/1"}, []standin.Fault{standin.Full}, http.StatusServiceUnavailable, 0},
-		{"a lost query is not sent again", call{method: "POST", path: "/queries/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 1},
+		{"a lost booking may have run, and is not sent again", standin.Call{Method: "POST", Path: "/bookings/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 1},
+		{"a refused booking has not run", standin.Call{Method: "POST", Path: "/bookings/1"}, []standin.Fault{standin.Full}, http.StatusServiceUnavailable, 0},
+		{"a failed booking is passed on", standin.Call{Method: "POST", Path: "/bookings/1"}, []standin.Fault{standin.FailRun}, http.StatusInternalServerError, 1},
+		{"a booking without an answer may have run", standin.Call{Method: "POST", Path: "/bookings/1", Patience: "200"}, []standin.Fault{standin.Hang}, http.StatusGatewayTimeout, 1},
+		{"a lost read is sent once more", standin.Call{Method: "GET", Path: "/reads/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 2},
+		{"a failed read is sent once more", standin.Call{Method: "GET", Path: "/reads/1"}, []standin.Fault{standin.FailRun}, http.StatusInternalServerError, 2},
+		{"a read without an answer is sent once more", standin.Call{Method: "GET", Path: "/reads/1", Patience: "600"}, []standin.Fault{standin.Hang}, http.StatusGatewayTimeout, 2},
+		{"a refused read has not run", standin.Call{Method: "GET", Path: "/reads/1"}, []standin.Fault{standin.Full}, http.StatusServiceUnavailable, 0},
+		{"a lost query is not sent again", standin.Call{Method: "POST", Path: "/queries/1"}, []standin.Fault{standin.LoseAnswer}, http.StatusBadGateway, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f, writers, desks := newFleet(t)
 			failBoth(writers, c.faults...)
 			failBoth(desks, c.faults...)
-			c.call.id = "x1"
+			c.call.ID = "x1"
 			status, header, _ := f.do(c.call)
 			must.Eq(t, c.status, status)
 			must.Eq(t, c.runs, runsOf("x1", append(writers[:], desks[:]...)...))
@@ -90,7 +86,7 @@
 	desks[0].Fail(standin.LoseAnswer, standin.LoseAnswer)
 	desks[1].Fail(standin.None)
 	for _, id := range []string{"r1", "r2", "r3", "r4"} {
-		status, _, body := f.do(call{method: "GET", path: "/reads/1", id: id})
+		status, _, body := f.do(standin.Call{Method: "GET", Path: "/reads/1", ID: id})
 		must.Eq(t, http.StatusOK, status)
 		must.Eq(t, "answer to "+id, body)
 	}
@@ -102,17 +98,17 @@
 	// break the resumed stream again.
 	broken := atHome(f, writers)
 	broken.Fail(standin.BreakOff)
-	status, header, body := f.do(call{method: "POST", path: "/drafts/1", id: "d1"})
+	status, header, body := f.do(standin.Call{Method: "POST", Path: "/drafts/1", ID: "d1"})
 	must.Eq(t, http.StatusOK, status)
 	must.Eq(t, standin.Stream(), body)
-	must.Eq(t, broken.ID, header.Get("X-Response-Stamp"))
+	must.Eq(t, broken.ID, standin.Signature(header))
 	must.Eq(t, 2, runsOf("d1", writers[:]...))
 }
 
 func TestStreamThatMayNotGoOnDoesNotLookComplete(t *testing.T) {
 	f, writers, _ := newFleet(t)
 	failBoth(writers, standin.BreakOff)
-	response, err := f.client.Do(f.request(call{method: "POST", path: "/queries/1", id: "q1"}))
+	response, err := f.client.Do(f.request(standin.Call{Method: "POST", Path: "/queries/1", ID: "q1"}))
 	must.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
@@ -124,9 +120,9 @@
 // atHome returns the target that the test's session goes to.
 func atHome(f *testFleet, writers [2]*standin.Target) *standin.Target {
 	f.t.Helper()
-	status, header, _ := f.do(call{method: "POST", path: "/drafts/1", id: "home"})
+	status, header, _ := f.do(standin.Call{Method: "POST", Path: "/drafts/1", ID: "home"})
 	must.Eq(f.t, http.StatusOK, status)
-	if header.Get("X-Response-Stamp") == writers[0].ID {
+	if standin.Signature(header) == writers[0].ID {
 		return writers[0]
 	}
 	return writers[1]
@@ -136,7 +132,7 @@
 	f, writers, _ := newFleet(t)
 	home := atHome(f, writers)
 	for _, id := range []string{"d1", "d2", "d3", "d4"} {
-		f.do(call{method: "POST", path: "/drafts/1", id: id})
+		f.do(standin.Call{Method: "POST", Path: "/drafts/1", ID: id})
 		must.Eq(t, 1, runsOf(id, home))
 	}
 }
@@ -147,7 +143,7 @@
 		t.Cleanup(writer.Hold())
 	}
 	ctx, leave := context.WithCancel(t.Context())
-	response, err := f.client.Do(f.request(call{method: "POST", path: "/queries/1", id: "q1"}).WithContext(ctx))
+	response, err := f.client.Do(f.request(standin.Call{Method: "POST", Path: "/queries/1", ID: "q1"}).WithContext(ctx))
 	must.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	leave()
@@ -170,7 +166,7 @@
 	home := atHome(f, writers)
 	home.Crash()
 	for _, id := range []string{"q1", "q2", "q3"} {
-		status, _, body := f.do(call{method: "POST", path: "/queries/1", id: id})
+		status, _, body := f.do(standin.Call{Method: "POST", Path: "/queries/1", ID: id})
 		must.Eq(t, http.StatusOK, status)
 		must.Eq(t, standin.Stream(), body)
 	}
@@ -180,14 +176,14 @@
 	f, _, _ := newFleet(t)
 	cases := []struct {
 		name   string
-		call   call
+		call   standin.Call
 		status int
 	}{
-		{"no route", call{method: "GET", path: "/nowhere/1", id: "x"}, http.StatusNotFound},
-		{"unknown key", call{method: "GET", path: "/reads/1", id: "x", header: map[string]string{"X-Key": "other"}}, http.StatusUnauthorized},
-		{"no id", call{method: "GET", path: "/reads/1"}, http.StatusBadRequest},
-		{"bad deadline", call{method: "GET", path: "/reads/1", id: "x", header: map[string]string{"X-Deadline-Ms": "soon"}}, http.StatusBadRequest},
-		{"body too large", call{method: "POST", path: "/bookings/1", id: "x", body: strings.Repeat("x", 1025)}, http.StatusRequestEntityTooLarge},
+		{"no route", standin.Call{Method: "GET", Path: "/nowhere/1", ID: "x"}, http.StatusNotFound},
+		{"unknown key", standin.Call{Method: "GET", Path: "/reads/1", ID: "x", Key: "other"}, http.StatusUnauthorized},
+		{"no id", standin.Call{Method: "GET", Path: "/reads/1"}, http.StatusBadRequest},
+		{"bad deadline", standin.Call{Method: "GET", Path: "/reads/1", ID: "x", Patience: "soon"}, http.StatusBadRequest},
+		{"body too large", standin.Call{Method: "POST", Path: "/bookings/1", ID: "x", Body: strings.Repeat("x", 1025)}, http.StatusRequestEntityTooLarge},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -196,8 +192,7 @@
 		})
 	}
 	t.Run("smuggled request", func(t *testing.T) {
-		line := f.raw("POST /bookings/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: s1\r\nX-Key: " + key +
-			"\r\nContent-Length: 4\r\nContent-Length: 60\r\n\r\nabcdGET /reads/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+		line := f.raw(standin.Smuggled())
 		must.StrContains(t, line, "400")
 	})
 }
@@ -222,7 +217,7 @@
 		}
 	}
 	for _, id := range []string{"q1", "q2", "q3", "q4"} {
-		status, _, _ := f.do(call{method: "POST", path: "/queries/" + id, id: id})
+		status, _, _ := f.do(standin.Call{Method: "POST", Path: "/queries/" + id, ID: id})
 		must.Eq(t, http.StatusOK, status)
 		must.Eq(t, 0, runsOf(id, writers[:]...))
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -51,31 +51,6 @@
 	peers   int           // daemons that were started besides
 }
 
-// document is a configuration with one route of each kind.
-func document(version int, keys ...string) map[string]any {
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "desk.example", "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 3000,
-			"latencyTargetMs": 300, "gapTargetMs": 300, "service": service, "maxAttempts": attempts,
-			"sticky": kind == "streaming", "resumable": resumable, "priority": 1,
-		}
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("drafts", "/drafts/", "streaming", "writers", 2, true),
-			route("queries", "/queries/", "streaming", "writers", 1, false),
-			route("bookings", "/bookings/", "non_idempotent", "desk", 1, false),
-			route("reads", "/reads/", "idempotent", "desk", 2, false),
-		},
-		"services": []any{map[string]any{"name": "writers"}, map[string]any{"name": "desk"}},
-		"tenants":  []any{map[string]any{"name": "members", "apiKeys": keys}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}
-}
-
-const key = "members-key"
-
 // quickGrace ends a daemon quickly after a test.
 const quickGrace = 500 * time.Millisecond
 
@@ -83,7 +58,7 @@
 func newFleet(t *testing.T) (f *testFleet, writers, desks [2]*standin.Target) {
 	f = &testFleet{t: t, store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{}}, grace: quickGrace}
 	t.Cleanup(f.store.Close)
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(1, key))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(1, standin.Key))
 	for i, name := range []string{"a", "b"} {
 		writers[i] = f.addTarget("writer-"+name, "writers", true)
 		desks[i] = f.addTarget("desk-"+name, "desk", false)
@@ -147,7 +122,7 @@
 }
 
 func (f *testFleet) ready() bool {
-	response, err := f.client.Get("http://" + f.daemon.checks.Addr().String() + platform.ReadyPath)
+	response, err := f.client.Get(standin.ReadyURL(f.daemon.checks.Addr().String()))
 	if err != nil {
 		return false
 	}
@@ -155,33 +130,16 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// call is one request of a caller.
-type call struct {
-	method, path, id, body string
-	header                 map[string]string
-}
-
-func (f *testFleet) request(c call) *http.Request {
-	request, err := http.NewRequestWithContext(f.t.Context(), c.method, "http://"+f.daemon.front.Addr().String()+c.path, strings.NewReader(c.body))
+func (f *testFleet) request(call standin.Call) *http.Request {
+	request, err := standin.NewRequest(f.t.Context(), f.daemon.front.Addr().String(), call)
 	must.NoError(f.t, err)
-	request.Host = "desk.example"
-	request.Header.Set("X-Request-Id", c.id)
-	request.Header.Set("X-Key", key)
-	request.Header.Set("X-Deadline-Ms", "3000")
-	if strings.HasPrefix(c.path, "/drafts/") || strings.HasPrefix(c.path, "/queries/") {
-		request.Header.Set("X-Prompt-Prefix", "aa:100,bb:200,"+c.id+":10")
-		request.Header.Set("X-Token-Count", "310,50")
-	}
-	for name, value := range c.header {
-		request.Header.Set(name, value)
-	}
 	return request
 }
 
 // do sends a request and returns its whole answer.
-func (f *testFleet) do(c call) (status int, header http.Header, body string) {
+func (f *testFleet) do(call standin.Call) (status int, header http.Header, body string) {
 	f.t.Helper()
-	response, err := f.client.Do(f.request(c))
+	response, err := f.client.Do(f.request(call))
 	must.NoError(f.t, err)
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -27,11 +27,11 @@
 func TestDaemonThatTheStoreDoesNotServeLearnsFromAPeer(t *testing.T) {
 	f, _, _ := newFleet(t)
 	second := f.peer(nowhere(t)) // ready, so it has a configuration and targets
-	must.Eq(t, http.StatusOK, second.read("r1", key))
+	must.Eq(t, http.StatusOK, second.read("r1", standin.Key))
 
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, "new-key"))
 	second.eventually(func() bool { return second.read("r2", "new-key") == http.StatusOK })
-	must.Eq(t, http.StatusUnauthorized, second.read("r3", key), must.Sprint("a key that was taken away"))
+	must.Eq(t, http.StatusUnauthorized, second.read("r3", standin.Key), must.Sprint("a key that was taken away"))
 }
 
 func TestCutOffDaemonHearsOfNewTargets(t *testing.T) {
@@ -42,7 +42,7 @@
 		f.store.Put(platform.KindTargets, desk.ID, desk.Entry("desk", "north", "draining"))
 	}
 	second.eventually(func() bool {
-		return second.read("r1", key) == http.StatusOK && runsOf("r1", added) > 0
+		return second.read("r1", standin.Key) == http.StatusOK && runsOf("r1", added) > 0
 	})
 }
 
@@ -56,7 +56,7 @@
 	for _, entry := range entries {
 		stale.PutRaw(platform.KindTargets, entry.Object.Name, entry.Object.Spec)
 	}
-	stale.Put(platform.KindDocument, platform.DocumentName, document(1, key))
+	stale.Put(platform.KindDocument, platform.DocumentName, standin.Document(1, standin.Key))
 	second := f.peer(stale.Address())
 	for range 10 { // the first store's revisions run ahead
 		f.addTarget("desk-c", "desk", false)
@@ -84,7 +84,7 @@
 	}
 	// What the last one is told is in force within the bound.
 	added := f.addTarget("desk-c", "desk", false)
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, "new-key"))
 	last.eventually(func() bool { return last.read("r1", "new-key") == http.StatusOK })
 	f.store.Delete(platform.KindTargets, "desk-a")
 	f.store.Delete(platform.KindTargets, "desk-b")
--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -14,38 +14,34 @@
 )
 
 func (f *testFleet) read(id, withKey string) int {
-	status, _, _ := f.do(call{method: "GET", path: "/reads/1", id: id, header: map[string]string{"X-Key": withKey}})
+	status, _, _ := f.do(standin.Call{Method: "GET", Path: "/reads/1", ID: id, Key: withKey})
 	return status
 }
 
 func TestConfigurationComesIntoForce(t *testing.T) {
 	f, _, _ := newFleet(t)
 	must.Eq(t, http.StatusUnauthorized, f.read("r1", "new-key"))
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, "new-key"))
 	f.eventually(func() bool { return f.read("r2", "new-key") == http.StatusOK })
-	must.Eq(t, http.StatusUnauthorized, f.read("r3", key))
+	must.Eq(t, http.StatusUnauthorized, f.read("r3", standin.Key))
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	f, _, _ := newFleet(t)
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(5, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(5, "new-key"))
 	f.eventually(func() bool { return f.read("r1", "new-key") == http.StatusOK })
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(4, key))
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(6, "newest-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(4, standin.Key))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(6, "newest-key"))
 	f.eventually(func() bool { return f.read("r2", "newest-key") == http.StatusOK })
-	must.Eq(t, http.StatusUnauthorized, f.read("r3", key))
+	must.Eq(t, http.StatusUnauthorized, f.read("r3", standin.Key))
 }
 
 func TestBrokenConfigurationLeavesTheLastGoodOne(t *testing.T) {
-	for name, spec := range map[string]string{
-		"no version":   `{"routes":[]}`,
-		"another type": `{"version":9,"routes":"none"}`,
-		"unknown kind": `{"version":9,"routes":[{"name":"r","pathPrefix":"/","routeKind":"sometimes","service":"desk"}]}`,
-	} {
+	for name, spec := range standin.BrokenDocuments() {
 		t.Run(name, func(t *testing.T) {
 			f, _, _ := newFleet(t)
-			f.store.PutRaw(platform.KindDocument, platform.DocumentName, []byte(spec))
-			f.store.Put(platform.KindDocument, platform.DocumentName, document(2, key, "second-key"))
+			f.store.PutRaw(platform.KindDocument, platform.DocumentName, spec)
+			f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, standin.Key, "second-key"))
 			f.eventually(func() bool { return f.read("r1", "second-key") == http.StatusOK })
 		})
 	}
@@ -54,7 +50,7 @@
 func TestStoreForgetsItsHistory(t *testing.T) {
 	f, _, _ := newFleet(t)
 	f.store.Forget()
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, "new-key"))
 	f.eventually(func() bool { return f.read("r1", "new-key") == http.StatusOK })
 }
 
@@ -64,9 +60,9 @@
 			f, _, _ := newFleet(t)
 			f.store.SetMode(mode)
 			f.store.CloseClientConnections()
-			must.Eq(t, http.StatusOK, f.read("r1", key))
+			must.Eq(t, http.StatusOK, f.read("r1", standin.Key))
 			f.store.SetMode(standin.Serving)
-			f.store.Put(platform.KindDocument, platform.DocumentName, document(2, "new-key"))
+			f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, "new-key"))
 			f.within(contact, func() bool { return f.read("r2", "new-key") == http.StatusOK })
 		})
 	}
@@ -85,14 +81,14 @@
 		t.Run(name, func(t *testing.T) {
 			f, _, desks := newFleet(t)
 			leave(f, desks[0])
-			f.store.Put(platform.KindDocument, platform.DocumentName, document(2, key, "marker"))
+			f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, standin.Key, "marker"))
 			// Once the listing shows it, ten reads in a row go to the other one.
 			round := 0
 			f.eventually(func() bool {
 				round++
 				before := len(desks[0].Runs())
 				for i := range 10 {
-					must.Eq(t, http.StatusOK, f.read(fmt.Sprintf("r%d-%d", round, i), key))
+					must.Eq(t, http.StatusOK, f.read(fmt.Sprintf("r%d-%d", round, i), standin.Key))
 				}
 				return len(desks[0].Runs()) == before
 			})
@@ -122,7 +118,7 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		status, _, body := f.do(call{method: "POST", path: "/queries/1", id: "q1"})
+		status, _, body := f.do(standin.Call{Method: "POST", Path: "/queries/1", ID: "q1"})
 		results <- result{status, body}
 	}()
 	f.eventually(func() bool { return runsOf("q1", writers[:]...) == 1 })
@@ -130,7 +126,7 @@
 	f.eventually(func() bool { return !f.ready() })
 	// Until the platform has noticed, requests are still served, each as the last
 	// one of its connection.
-	response, err := f.client.Do(f.request(call{method: "GET", path: "/reads/1", id: "r1"}))
+	response, err := f.client.Do(f.request(standin.Call{Method: "GET", Path: "/reads/1", ID: "r1"}))
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, response.StatusCode)
 	must.True(t, response.Close)
@@ -144,13 +140,13 @@
 
 func TestRestartedDaemonIsReadyFromTheStoreAlone(t *testing.T) {
 	f, _, _ := newFleet(t)
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(7, "new-key"))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(7, "new-key"))
 	f.stop()
 	must.NoError(t, <-f.stopped)
 	f.stopped <- nil
 	f.start()
 	must.Eq(t, http.StatusOK, f.read("r1", "new-key"))
-	must.Eq(t, http.StatusUnauthorized, f.read("r2", key))
+	must.Eq(t, http.StatusUnauthorized, f.read("r2", standin.Key))
 }
 
 // While the store is away entries lapse, and are written again after its return:
@@ -173,7 +169,7 @@
 func TestDaemonWithoutTargetsIsNotReady(t *testing.T) {
 	f := &testFleet{t: t, store: standin.NewStore(), client: &http.Client{}, grace: quickGrace}
 	t.Cleanup(f.store.Close)
-	f.store.Put(platform.KindDocument, platform.DocumentName, document(1, key))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(1, standin.Key))
 	f.startUnready(platform.Settings{Host: "front-1", StoreAddress: f.store.Address()})
 	f.eventually(func() bool { return f.daemon.document.current() != nil })
 	must.False(t, f.ready())
