--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestServiceGoesOnWhileTheStoreIsAway(t *testing.T) {
-	for name, mode := range map[string]standin.Mode{"silent": standin.Silent, "busy": standin.Busy} {
+	for name, mode := range map[string]standin.Mode{"silent": standin.Silent, "busy": standin.Busy, "slow": standin.Slow} {
 		t.Run(name, func(t *testing.T) {
 			f, _, _ := newFleet(t)
 			f.store.SetMode(mode)
