Give a call's place back before its end is told

Cause: the home daemon released a call's admission after it had sent the end, so a caller that came back at once could find its own former request counted, and its chat was spilled from a warm engine. TestPlannedStopCutsNothingOff failed once by it.

Tried and reverted, for the known failure of the load bound while a home is frozen: to leave counts of a home that is silent for three usual gaps out of the mean.

--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -105,13 +105,30 @@
 	if refused != nil {
 		return link.Send(&peerpb.ForwardDown{Body: &peerpb.ForwardDown_Refusal{Refusal: refused}})
 	}
-	defer s.loop.Release(ticket)
+	release := sync.OnceFunc(func() { s.loop.Release(ticket) })
+	defer release()
+	link = releasing{link, release}
 	if refused := askStart(link, call); refused != nil {
 		return refuse(link, refused)
 	}
 	return s.dispatch(link, call, snapshot.Document.AddressFor(engine, s.failureDomain), snapshot.Generation)
 }
 
+// releasing gives a call's place back before its end is told: a caller that
+// returns at once finds its former request no longer counted.
+type releasing struct {
+	Link
+	release func()
+}
+
+// Send passes a message on to the entry.
+func (r releasing) Send(message *peerpb.ForwardDown) error {
+	if message.GetEnd() != nil || message.GetRefusal() != nil {
+		r.release()
+	}
+	return r.Link.Send(message)
+}
+
 // admit asks for admission, with the counts that the call brings along. A busy
 // home answers with its own counts, so that the next home of the request knows
 // the service's load, however fast it has risen.
--- a/internal/integration/bound_test.go
+++ b/internal/integration/bound_test.go
@@ -264,5 +264,5 @@
 		must.LessEq(t, timeSlack, each.over.Seconds()/each.total.Seconds())
 		must.LessEq(t, excessSlack, each.excess)
 	}
-	must.SliceEmpty(t, group.failures)
+	must.SliceEmpty(t, group.failures, must.Sprint(group.failures))
 }
