Tell peers of removals that only a list shows

Cause: a list of targets was taken to be as of the last change of those that it holds. A target that went after that is missing from it without a trace: a peer that knew the same last change was told nothing, until the whole list came anew. Now a list is as of the store's revision of its first page, and a daemon that follows the store compares what peers claim with the revision of the store's last answer. News from the store and from peers is taken in one at a time.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -144,8 +144,9 @@
 		ours.Document = spec
 	}
 	if theirs.GetStoreAway() && ours.GetTargetsRevision() > theirs.GetTargetsRevision() {
-		changes, whole := p.gateway.targets.since(theirs.GetTargetsRevision())
+		changes, whole, until := p.gateway.targets.since(theirs.GetTargetsRevision())
 		ours.Whole = whole
+		ours.TargetsRevision = until
 		for _, change := range changes {
 			ours.Targets = append(ours.Targets, &peerpb.StoreObject{
 				Name: change.Object.Name, Revision: change.Object.Revision, Spec: change.Object.Spec, Deleted: change.Deleted,
@@ -186,7 +187,7 @@
 	switch {
 	case !p.gateway.targets.following():
 		p.behind = time.Time{}
-	case theirs.GetTargetsRevision() <= p.gateway.targets.lastChange():
+	case !p.gateway.targets.lacks(theirs.GetTargetsRevision()):
 		p.behind = time.Time{}
 	case p.behind.IsZero():
 		p.behind = now
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -52,7 +52,7 @@
 	t.Cleanup(stale.Close)
 	// The second daemon's store has what the first one's had, and tells of no
 	// change.
-	entries, _ := f.daemon.targets.since(0)
+	entries, _, _ := f.daemon.targets.since(0)
 	for _, entry := range entries {
 		stale.PutRaw(platform.KindTargets, entry.Object.Name, entry.Object.Spec)
 	}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -14,10 +14,19 @@
 	gateway *Gateway
 	watch   *watcher
 
+	// turn is held while news is taken in, by the mirror and by control: news from
+	// the store and from peers come on two threads.
+	turn sync.Mutex
+
 	mu      sync.Mutex
 	entries map[string]platform.Object
-	changed int64 // revision of the last change; 0 as long as there is no list
-	away    bool  // the store does not tell of changes
+	// changed is a revision of the store up to which all changes are known, and
+	// after which none is: 0 as long as there is no list.
+	changed int64
+	// seen is the store's revision as of its last answer: no change up to it is
+	// missing.
+	seen int64
+	away bool // the store does not tell of changes
 	// removed holds the revisions at which entries went, and complete the revision
 	// since which it holds all of them.
 	removed  map[string]int64
@@ -31,7 +40,10 @@
 	list.watch.change = list.change
 	list.watch.lost = list.lost
 	list.watch.needed = g.peers.lookout
-	list.watch.confirmed = func() { g.peers.confirm(platform.KindTargets) }
+	list.watch.confirmed = func(revision int64) {
+		list.confirm(revision)
+		g.peers.confirm(platform.KindTargets)
+	}
 	return list
 }
 
@@ -42,6 +54,20 @@
 	return l.changed
 }
 
+// confirm notes the store's revision as of an answer.
+func (l *targetList) confirm(revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen = max(l.seen, revision)
+}
+
+// lacks reports whether a change that a peer knows is not known here.
+func (l *targetList) lacks(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return revision > max(l.changed, l.seen)
+}
+
 // following reports whether the store tells of changes.
 func (l *targetList) following() bool {
 	l.mu.Lock()
@@ -50,8 +76,8 @@
 }
 
 // since returns what has changed after a revision, or the whole list if the
-// changes are not known that far back.
-func (l *targetList) since(revision int64) (changes []platform.Change, whole bool) {
+// changes are not known that far back, and the revision that this leads to.
+func (l *targetList) since(revision int64) (changes []platform.Change, whole bool, until int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	whole = revision < l.complete
@@ -61,14 +87,14 @@
 		}
 	}
 	if whole {
-		return changes, true
+		return changes, true, l.changed
 	}
 	for name, at := range l.removed {
 		if at > revision {
 			changes = append(changes, platform.Change{Object: platform.Object{Name: name, Revision: at}, Deleted: true})
 		}
 	}
-	return changes, false
+	return changes, false, l.changed
 }
 
 func (l *targetList) lost() {
@@ -77,22 +103,32 @@
 	l.away = true
 }
 
-// replace takes in a whole list from the store.
-func (l *targetList) replace(objects []platform.Object, returned bool) {
-	l.set(objects, 0, false)
+// replace takes in a whole list from the store, as of a revision.
+func (l *targetList) replace(objects []platform.Object, revision int64, returned bool) {
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	l.set(objects, revision, false)
 	l.gateway.control.replaceTargets(l.decode(objects), returned)
-	l.gateway.log.Warn("listed targets", "entries", len(objects))
+	l.gateway.log.Warn("listed targets", "entries", len(objects), "revision", revision)
 }
 
 // change takes in changes of single entries from the store.
 func (l *targetList) change(changes []platform.Change, returned bool) {
-	l.apply(changes, 0, false)
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	last := int64(0)
+	for _, change := range changes {
+		last = max(last, change.Object.Revision)
+	}
+	l.apply(changes, last, false)
 	l.pass(changes, returned)
 }
 
 // fromPeer takes in what a peer has from the store, while this daemon does not
-// follow the store itself.
+// follow the store itself. The peer knows all changes up to the revision.
 func (l *targetList) fromPeer(changes []platform.Change, whole bool, revision int64) {
+	l.turn.Lock()
+	defer l.turn.Unlock()
 	if l.following() || revision <= l.lastChange() {
 		return
 	}
@@ -110,7 +146,8 @@
 	l.gateway.log.Warn("took the list of targets from a peer", "entries", len(objects), "revision", revision)
 }
 
-// set replaces the mirror.
+// set replaces the mirror by a list as of a revision. What the list lacks went
+// before that revision, so peers that know less are told the whole.
 func (l *targetList) set(objects []platform.Object, revision int64, away bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -118,20 +155,18 @@
 	clear(l.removed)
 	for _, object := range objects {
 		l.entries[object.Name] = object
-		revision = max(revision, object.Revision)
 	}
 	l.changed = max(l.changed, revision)
 	l.complete = l.changed
 	l.away = away
 }
 
-// apply changes the mirror.
+// apply changes the mirror up to a revision.
 func (l *targetList) apply(changes []platform.Change, revision int64, away bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.away = away
 	for _, change := range changes {
-		revision = max(revision, change.Object.Revision)
 		if change.Deleted {
 			delete(l.entries, change.Object.Name)
 			l.removed[change.Object.Name] = change.Object.Revision
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -39,12 +39,13 @@
 	log   logger
 	// replace takes in a whole list, change single events. Returned says that the
 	// store was away before.
-	replace func(objects []platform.Object, returned bool)
+	replace func(objects []platform.Object, revision int64, returned bool)
 	change  func(changes []platform.Change, returned bool)
 	// lost is told when the store is not followed any more.
 	lost func()
-	// confirmed is told of each answer of the store.
-	confirmed func()
+	// confirmed is told of each answer of the store, and the revision that it
+	// answered for.
+	confirmed func(revision int64)
 	// needed reports whether this daemon is to follow the store itself.
 	needed func() bool
 
@@ -56,7 +57,7 @@
 }
 
 func newWatcher(kind string, store *platform.Store, log logger) *watcher {
-	return &watcher{kind: kind, store: store, log: log, lost: func() {}, confirmed: func() {}, needed: func() bool { return true }, cancel: func() {}}
+	return &watcher{kind: kind, store: store, log: log, lost: func() {}, confirmed: func(int64) {}, needed: func() bool { return true }, cancel: func() {}}
 }
 
 // again breaks off the call in progress, as its connection seems dead.
@@ -97,8 +98,8 @@
 			w.failed(ctx, err)
 			continue
 		}
-		w.confirmed()
-		w.replace(objects, w.returned())
+		w.replace(objects, revision, w.returned())
+		w.confirmed(revision)
 		w.follow(ctx, revision)
 	}
 }
@@ -115,10 +116,13 @@
 			w.failed(ctx, err)
 			continue
 		}
-		w.confirmed()
 		returned := w.returned()
-		if len(changes) > 0 || returned {
+		changed := len(changes) > 0 || returned
+		if changed {
 			w.change(changes, returned)
+		}
+		w.confirmed(next)
+		if changed {
 			pauseFor(ctx, gatherPause)
 		}
 		revision = next
@@ -171,8 +175,8 @@
 func (g *Gateway) watchDocument(ctx context.Context) {
 	w := newWatcher(platform.KindDocument, g.store, g.log)
 	w.needed = g.peers.lookout
-	w.confirmed = func() { g.peers.confirm(platform.KindDocument) }
-	w.replace = func(objects []platform.Object, _ bool) {
+	w.confirmed = func(int64) { g.peers.confirm(platform.KindDocument) }
+	w.replace = func(objects []platform.Object, _ int64, _ bool) {
 		for _, object := range objects {
 			g.takeDocument(object)
 		}
