Carry large configurations over small links

The store's answer was broken off at 0.65 s and asked for again, 36 times in 12 s; an exchange with a peer at 0.5 s, and each of them filled the link again.

--- a/internal/gateway/document.go
+++ b/internal/gateway/document.go
@@ -13,7 +13,8 @@
 type inForce struct {
 	mu      sync.Mutex
 	table   *routing.Table
-	spec    []byte        // as the store gave it, for peers
+	spec    []byte        // as the store gave it
+	packed  []byte        // the same for peers; nil until one asks
 	arrived chan struct{} // closed once there is a table
 }
 
@@ -26,14 +27,25 @@
 	return f.table
 }
 
-// encoded returns the version in force and its encoding.
-func (f *inForce) encoded() (int64, []byte) {
+// version returns the version in force, 0 if there is none.
+func (f *inForce) version() int64 {
+	if table := f.current(); table != nil {
+		return table.Document.Version
+	}
+	return 0
+}
+
+// newer returns the configuration for a peer that has an older version, else nil.
+func (f *inForce) newer(than int64) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table == nil {
-		return 0, nil
+	if f.table == nil || f.table.Document.Version <= than {
+		return nil
+	}
+	if f.packed == nil {
+		f.packed = pack(f.spec)
 	}
-	return f.table.Document.Version, f.spec
+	return f.packed
 }
 
 // offer puts a table in force unless one of the same or a higher version is.
@@ -48,6 +60,7 @@
 	}
 	f.table = table
 	f.spec = spec
+	f.packed = nil
 	return true
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -128,10 +128,9 @@
 	p.mu.Lock()
 	members := p.table.Sample(random, gossiped, time.Now())
 	p.mu.Unlock()
-	version, _ := p.gateway.document.encoded()
 	return &peerpb.MeshState{
 		Members:         members,
-		DocumentVersion: version,
+		DocumentVersion: p.gateway.document.version(),
 		TargetsRevision: p.gateway.targets.lastChange(),
 		StoreAway:       !p.gateway.targets.following(),
 		StoreAgeMs:      uint32(p.storeAge(time.Now()).Milliseconds()),
@@ -140,9 +139,7 @@
 
 // addLacking adds what the daemon that asks lacks.
 func (p *peers) addLacking(ours, theirs *peerpb.MeshState) {
-	if version, spec := p.gateway.document.encoded(); version > theirs.GetDocumentVersion() {
-		ours.Document = spec
-	}
+	ours.Document = p.gateway.document.newer(theirs.GetDocumentVersion())
 	if theirs.GetStoreAway() && ours.GetTargetsRevision() > theirs.GetTargetsRevision() {
 		changes, whole, until := p.gateway.targets.since(theirs.GetTargetsRevision())
 		ours.Whole = whole
@@ -157,9 +154,7 @@
 
 // merge takes in what a peer has told.
 func (p *peers) merge(theirs *peerpb.MeshState) {
-	if spec := theirs.GetDocument(); len(spec) > 0 {
-		p.gateway.takeSpec(spec, "peer")
-	}
+	p.mergeDocument(theirs)
 	if entries := theirs.GetTargets(); len(entries) > 0 {
 		var changes []platform.Change
 		for _, entry := range entries {
@@ -174,6 +169,21 @@
 	}
 }
 
+// mergeDocument takes in a peer's configuration, if it is newer than this daemon's.
+func (p *peers) mergeDocument(theirs *peerpb.MeshState) {
+	packed := theirs.GetDocument()
+	if len(packed) == 0 || theirs.GetDocumentVersion() <= p.gateway.document.version() {
+		return
+	}
+	spec, err := unpack(packed)
+	if err != nil {
+		p.gateway.log.Warn("configuration of a peer cannot be read", "error", err)
+		p.gateway.metrics.badEntry()
+		return
+	}
+	p.gateway.takeSpec(spec, "peer")
+}
+
 // notice notes a peer's members and reports whether this daemon's watch of the
 // targets seems dead.
 func (p *peers) notice(theirs *peerpb.MeshState) bool {
