--- a/cmd/hemlockknot-gateway/main.go
+++ b/cmd/hemlockknot-gateway/main.go
@@ -46,6 +46,8 @@
 }
 
 func runDaemon(path string, metricsPort int) error {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP) // before all else: without it the signal ends the process
 	debug.SetGCPercent(gcPercent)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -63,6 +65,8 @@
 	if err != nil {
 		return err
 	}
+	load := func() (platform.Settings, error) { return platform.LoadSettings(path) }
+	go daemon.FollowSettings(ctx, load, changed)
 	return daemon.Run(ctx, metricsAddress(settings.IP, metricsPort))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	checks   net.Listener // of the platform's readiness checks
 	others   net.Listener // of other daemons; nil if the settings name no address
 	stopping atomic.Bool
+	grace    atomic.Int64 // of a planned stop, in nanoseconds
 }
 
 // New opens the daemon's listeners; Run serves them.
@@ -73,6 +74,7 @@
 		pool:     exchange.NewPool(),
 		flows:    newFlows(),
 	}
+	g.grace.Store(int64(settings.Grace))
 	g.control = newControl(settings.FailureDomain, budgetPolicy{
 		ratio:  settings.RetryRatio,
 		extra:  settings.RetryExtra,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,11 +33,11 @@
 type peers struct {
 	gateway *Gateway
 	client  *mesh.Client
-	seeds   []string
 	random  *rand.Rand // of the exchanging goroutine
 	hurry   chan string
 
 	mu     sync.Mutex
+	seeds  []string
 	table  *member.Table
 	behind time.Time // since when a peer knows a later list; zero if none does
 	// answered is when the store last answered this daemon, by kind of objects, and
@@ -55,11 +55,7 @@
 		table:    member.New(self),
 		answered: make(map[string]time.Time),
 	}
-	for _, seed := range g.settings.Seeds {
-		if seed != self.GetAddress() {
-			p.seeds = append(p.seeds, seed)
-		}
-	}
+	p.setSeeds(g.settings.Seeds)
 	return p
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -22,10 +22,11 @@
 	g.callers.closing.Store(true)
 	g.peers.leave()
 	g.log.Warn("stopping", "requests", g.callers.requests.Load())
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
+	grace := time.Duration(g.grace.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
 	select {
-	case <-time.After(min(noticeTime, g.settings.Grace/2)):
+	case <-time.After(min(noticeTime, grace/2)):
 	case <-ctx.Done():
 	}
 	if err := g.callers.shutdown(ctx); err != nil {
