Add a fault soak of the gateway as processes

Real daemons between callers and the stand-ins of the platform; troubles are drawn from a seed, come in series and overlap: daemons killed, stopped, frozen, signalled; the store silent, busy, slow, without its history; targets that fail, crash, leave and are replaced; configurations.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everything a developer runs; .ci/run calls these targets.
-.PHONY: build test lint generate demo measure
+.PHONY: build test lint generate demo measure soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,7 @@
 # One JSON object a line; for example make measure ARGS="--seed 7".
 measure: build
 	@go run ./cmd/hemlockknot-measure $(ARGS)
+
+# Faults drawn from seeds; for example make soak ARGS="--seed 7 --seeds 50 --minutes 1".
+soak:
+	go test -count=1 -timeout 0 ./internal/soak -run TestSoak -v -args $(ARGS)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,8 @@
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
 	}
-	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain, "callers", g.front.Addr().String())
+	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain,
+		"callers", g.front.Addr().String(), "peers", g.peers.table.Self().GetAddress())
 	group.Go(func() error {
 		defer cancel()
 		select {
