--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -35,7 +35,7 @@
 
 func newTargetList(g *Gateway) *targetList {
 	list := &targetList{gateway: g, entries: make(map[string]platform.Object), removed: make(map[string]int64), away: true}
-	list.watch = newWatcher(platform.KindTargets, g.store, g.log)
+	list.watch = newWatcher(platform.KindTargets, g.store, g.log, gatherTargets)
 	list.watch.replace = list.replace
 	list.watch.change = list.change
 	list.watch.lost = list.lost
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -22,9 +22,11 @@
 	// Pauses after a failed call, doubled each time.
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
-	// gatherPause lets changes that come together be told in one answer, as each
-	// answer is a call.
-	gatherPause = 200 * time.Millisecond
+	// gatherDocument and gatherTargets let changes that come together be told in one
+	// answer, as each answer is a call. A target that leaves serves for drainMs and
+	// longer: the shortest is 2 s, by the users' bounds.
+	gatherDocument = 200 * time.Millisecond
+	gatherTargets  = 500 * time.Millisecond
 	// idlePause is how often a daemon that need not follow the store asks whether
 	// it must.
 	idlePause = 200 * time.Millisecond
@@ -34,9 +36,10 @@
 
 // watcher follows one kind of objects.
 type watcher struct {
-	kind  string
-	store *platform.Store
-	log   logger
+	kind   string
+	store  *platform.Store
+	log    logger
+	gather time.Duration // pause after changes
 	// replace takes in a whole list, change single events. Returned says that the
 	// store was away before.
 	replace func(objects []platform.Object, revision int64, returned bool)
@@ -56,8 +59,8 @@
 	broken int                // calls that were broken off as dead
 }
 
-func newWatcher(kind string, store *platform.Store, log logger) *watcher {
-	return &watcher{kind: kind, store: store, log: log, lost: func() {}, confirmed: func(int64) {}, needed: func() bool { return true }, cancel: func() {}}
+func newWatcher(kind string, store *platform.Store, log logger, gather time.Duration) *watcher {
+	return &watcher{kind: kind, store: store, log: log, gather: gather, lost: func() {}, confirmed: func(int64) {}, needed: func() bool { return true }, cancel: func() {}}
 }
 
 // again breaks off the call in progress, as its connection seems dead.
@@ -123,7 +126,7 @@
 		}
 		w.confirmed(next)
 		if changed {
-			pauseFor(ctx, gatherPause)
+			pauseFor(ctx, w.gather)
 		}
 		revision = next
 	}
@@ -173,7 +176,7 @@
 
 // watchDocument follows the configuration.
 func (g *Gateway) watchDocument(ctx context.Context) {
-	w := newWatcher(platform.KindDocument, g.store, g.log)
+	w := newWatcher(platform.KindDocument, g.store, g.log, gatherDocument)
 	w.needed = g.peers.lookout
 	w.confirmed = func(int64) { g.peers.confirm(platform.KindDocument) }
 	w.replace = func(objects []platform.Object, _ int64, _ bool) {
