--- a/internal/coordination/attempt/budget.go
+++ b/internal/coordination/attempt/budget.go
@@ -45,9 +45,6 @@
 	return true
 }
 
-// Left reports whether there is a retry to spend.
-func (b *Budget) Left() bool { return b.earned >= 1 || b.granted >= 1 }
-
 // refill grants a quarter of the extra at once and a quarter over a window; half
 // is kept for what has been earned earlier. So no window sees more than all of it.
 func (b *Budget) refill(extra float64, now time.Time) {
--- a/internal/coordination/attempt/budget_test.go
+++ b/internal/coordination/attempt/budget_test.go
@@ -48,9 +48,8 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for budget.Spend(8, now) {
 	}
-	must.False(t, budget.Left())
 	for range 10 {
 		budget.Request(8, now)
 	}
-	must.True(t, budget.Left())
+	must.True(t, budget.Spend(8, now))
 }
--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -23,29 +23,26 @@
 	readingTime = 30 * time.Microsecond
 )
 
-// Limit is what is left of a request.
-type Limit struct {
-	Left time.Duration // until the final answer is due
-	// Again says that another target may be tried after this one.
-	Again bool
-}
-
-// FirstByte returns how long a target may take to begin its answer.
-func FirstByte(route *routing.Route, call relay.Call, limit Limit) time.Duration {
-	if !limit.Again || route.Objective <= 0 {
-		return limit.Left
+// FirstByte returns how long a target may take to begin its answer before another
+// one is tried, if one may be.
+func FirstByte(route *routing.Route, call relay.Call) time.Duration {
+	if route.Objective <= 0 {
+		return unlimited
 	}
-	wait := time.Duration(plainStart * float64(route.Objective))
 	if route.Kind == routing.Stream {
-		wait = time.Duration(streamStart*float64(route.Objective)) + time.Duration(call.PromptTokens)*readingTime
+		return time.Duration(streamStart*float64(route.Objective)) + time.Duration(call.PromptTokens)*readingTime
 	}
-	return min(wait, limit.Left)
+	return time.Duration(plainStart * float64(route.Objective))
 }
 
-// Pause returns how long a stream that has begun may be silent.
-func Pause(route *routing.Route, limit Limit) time.Duration {
-	if !limit.Again || route.PauseLimit <= 0 {
-		return limit.Left
+// Pause returns how long a stream that has begun may be silent before another
+// target goes on with it, if one may.
+func Pause(route *routing.Route) time.Duration {
+	if route.PauseLimit <= 0 {
+		return unlimited
 	}
-	return min(time.Duration(pauses*float64(route.PauseLimit)), limit.Left)
+	return time.Duration(pauses * float64(route.PauseLimit))
 }
+
+// unlimited is longer than any request may take.
+const unlimited = time.Hour
--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -17,32 +17,23 @@
 	long  = relay.Call{PromptTokens: 30_000}
 )
 
-func TestSilenceIsBorneToTheEndWithoutAnotherTarget(t *testing.T) {
-	limit := Limit{Left: 9 * time.Second}
-	must.Eq(t, limit.Left, FirstByte(draft, long, limit))
-	must.Eq(t, limit.Left, Pause(draft, limit))
-}
-
 // An engine reads 85 tokens in a millisecond; a long prompt's reading must not be
 // taken for silence.
 func TestReadingIsNotSilence(t *testing.T) {
-	limit := Limit{Left: 9 * time.Second, Again: true}
-	must.Greater(t, 600*time.Millisecond+30_000/85*time.Millisecond, FirstByte(draft, long, limit))
-	must.Greater(t, 30_000/85*time.Millisecond, Pause(draft, limit))
+	must.Greater(t, 600*time.Millisecond+30_000/85*time.Millisecond, FirstByte(draft, long))
+	must.Greater(t, 30_000/85*time.Millisecond, Pause(draft))
 }
 
 func TestSecondTargetIsTriedBeforeTheCallerLeaves(t *testing.T) {
-	limit := Limit{Left: 9 * time.Second, Again: true}
 	// Callers leave after four objectives, or eight pauses.
-	must.Less(t, 4*draft.Objective, FirstByte(draft, relay.Call{PromptTokens: 12_000}, limit))
-	must.Less(t, 8*draft.PauseLimit, Pause(draft, limit))
-	must.Less(t, read.Objective, FirstByte(read, relay.Call{}, limit))
+	must.Less(t, 4*draft.Objective, FirstByte(draft, relay.Call{PromptTokens: 12_000}))
+	must.Less(t, 8*draft.PauseLimit, Pause(draft))
+	must.Less(t, read.Objective, FirstByte(read, relay.Call{}))
 }
 
-func TestNoLongerThanWhatIsLeft(t *testing.T) {
-	limit := Limit{Left: 50 * time.Millisecond, Again: true}
-	must.Eq(t, limit.Left, FirstByte(draft, long, limit))
-	must.Eq(t, limit.Left, Pause(draft, limit))
+func TestNothingIsSilenceWithoutAnObjective(t *testing.T) {
+	must.Greater(t, time.Minute, FirstByte(&routing.Route{}, long))
+	must.Greater(t, time.Minute, Pause(&routing.Route{}))
 }
 
 func TestComeBack(t *testing.T) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -163,14 +163,6 @@
 	return granted
 }
 
-// retryLeft reports whether a service's budget has a retry. Silence ends a try
-// only if it has: an answer that may still come is better than none.
-func (c *control) retryLeft(service string) bool {
-	left := false
-	c.do(func() { left = c.budget(service).Left() })
-	return left
-}
-
 func (c *control) budget(service string) *attempt.Budget {
 	known := c.budgets[service]
 	if known == nil {
--- a/internal/gateway/flows.go
+++ b/internal/gateway/flows.go
@@ -23,14 +23,15 @@
 type flow struct {
 	domain *domainFlow
 	target *fleet.Target
-	// giveUp ends the wait for the next event; nil if no other target may go on.
-	giveUp func()
+	giveUp func() // ends the wait for the next event
+	// replaceable says that another target may go on with it.
+	replaceable bool
 }
 
 func newFlows() *flows { return &flows{domains: make(map[string]*domainFlow)} }
 
 // begin notes a stream that has begun.
-func (f *flows) begin(target *fleet.Target, giveUp func()) *flow {
+func (f *flows) begin(target *fleet.Target, giveUp func(), replaceable bool) *flow {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.domains[target.FailureDomain]
@@ -38,7 +39,7 @@
 		known = &domainFlow{streams: make(map[*flow]struct{})}
 		f.domains[target.FailureDomain] = known
 	}
-	begun := &flow{domain: known, target: target, giveUp: giveUp}
+	begun := &flow{domain: known, target: target, giveUp: giveUp, replaceable: replaceable}
 	known.streams[begun] = struct{}{}
 	known.lastEvent = time.Now()
 	return begun
@@ -51,6 +52,15 @@
 	of.domain.lastEvent = time.Now()
 }
 
+// alive notes that a domain has answered otherwise.
+func (f *flows) alive(domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known := f.domains[domain]; known != nil {
+		known.lastEvent = time.Now()
+	}
+}
+
 // end notes that a stream has ended.
 func (f *flows) end(of *flow) {
 	f.mu.Lock()
@@ -73,9 +83,9 @@
 	return seen
 }
 
-// giveUp ends the wait for a domain's streams that may go on elsewhere, by the
-// services that still have retries. It returns their number.
-func (f *flows) giveUp(domain string, retryLeft map[string]bool) int {
+// giveUp ends the wait for a domain's streams that may go on elsewhere. It returns
+// their number.
+func (f *flows) giveUp(domain string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.domains[domain]
@@ -84,7 +94,7 @@
 	}
 	moved := 0
 	for stream := range known.streams {
-		if stream.giveUp != nil && retryLeft[stream.target.Service] {
+		if stream.replaceable {
 			stream.giveUp()
 			moved++
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 		g.serveMetrics(background, group, metricsAddress)
 	}
 	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain,
-		"callers", g.front.Addr().String(), "peers", g.peers.table.Self().GetAddress())
+		"callers", g.front.Addr().String(), "peers", g.peers.address)
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,6 +33,7 @@
 type peers struct {
 	gateway *Gateway
 	client  *mesh.Client
+	address string     // this daemon's for others
 	random  *rand.Rand // of the exchanging goroutine
 	hurry   chan string
 
@@ -50,6 +51,7 @@
 	p := &peers{
 		gateway:  g,
 		client:   mesh.NewClient(g.metrics.peerBytes),
+		address:  self.GetAddress(),
 		random:   rand.New(rand.NewPCG(self.GetIncarnation(), 0)),
 		hurry:    make(chan string, 1),
 		table:    member.New(self),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"hemlockknot/internal/coordination/attempt"
@@ -29,6 +31,8 @@
 	tried  map[string]bool
 	choice placement.Choice
 	tries  int
+	// granted says that the next try has been taken from the budget already.
+	granted atomic.Bool
 
 	lastEvent int64     // id of the last event that the caller has
 	firstByte time.Time // when the first byte of the answer went out
@@ -54,7 +58,7 @@
 			g.finished(t, "caller_left")
 			return
 		}
-		verdict := t.state.Decide(event, time.Until(t.deadline), func() bool { return g.control.spendRetry(t.service) })
+		verdict := t.state.Decide(event, time.Until(t.deadline), func() bool { return t.granted.Swap(false) || g.control.spendRetry(t.service) })
 		if verdict != attempt.Retry && verdict != attempt.Resume {
 			g.conclude(t, verdict, event)
 			return
@@ -80,7 +84,14 @@
 	t.choice = choice
 	t.tries++
 	t.tried[choice.Target.ID] = true
-	answer, failed := g.pool.Do(t.r.Context(), g.request(t, left))
+	ctx, giveUp := context.WithCancel(t.r.Context())
+	defer giveUp()
+	impatient := newImpatience(func() bool { return g.grant(t) }, giveUp)
+	if t.state.AnotherAfterThis() {
+		impatient.wait(pacing.FirstByte(t.route, t.call))
+	}
+	defer impatient.stop()
+	answer, failed := g.pool.Do(ctx, g.request(t, left))
 	if failed != nil {
 		return g.tryFailed(t, failed)
 	}
@@ -93,6 +104,7 @@
 		return attempt.Refused
 	}
 	if isEventStream(answer) {
+		impatient.stop()
 		return g.stream(t, answer)
 	}
 	return g.plain(t, answer)
@@ -124,18 +136,26 @@
 		Header:       platform.ForwardHeader(t.r.Header, t.call, dispatch),
 		Body:         t.body,
 		Fresh:        !t.route.Repeatable(),
-		AnswerWithin: pacing.FirstByte(t.route, t.call, g.limit(t)),
+		AnswerWithin: g.left(t),
 		Mine:         func(header http.Header) bool { return platform.ReadAnswer(header).RequestID == t.call.ID },
 		KeepFor:      func(header http.Header) time.Duration { return platform.ReadAnswer(header).IdleLimit },
 	}
 }
 
-// limit returns what is left of a request while it is at a target.
-func (g *Gateway) limit(t *journey) pacing.Limit {
-	return pacing.Limit{
-		Left:  time.Until(t.deadline) + timeoutSlack,
-		Again: t.state.AnotherAfterThis() && g.control.retryLeft(t.service),
+// left returns how long the request's target may take to its final answer.
+func (g *Gateway) left(t *journey) time.Duration { return time.Until(t.deadline) + timeoutSlack }
+
+// grant takes the request's next try from the budget, and reports whether there
+// was one.
+func (g *Gateway) grant(t *journey) bool {
+	if t.granted.Load() {
+		return true
+	}
+	if !g.control.spendRetry(t.service) {
+		return false
 	}
+	t.granted.Store(true)
+	return true
 }
 
 // refusedByTarget reports whether a target says that it has not run the request.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -56,6 +56,5 @@
 func (p *peers) setSeeds(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := p.table.Self().GetAddress()
-	p.seeds = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == own })
+	p.seeds = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == p.address })
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,10 +17,17 @@
 // stream passes events on as they come, whole ones only.
 func (g *Gateway) stream(t *journey, answer *exchange.Answer) attempt.Event {
 	reader := events.NewReader(answer)
-	flowing := g.flows.begin(t.choice.Target, giveUp(t, answer))
+	giveUp := func() { answer.Within(0) }
+	impatient := newImpatience(func() bool { return g.grant(t) }, giveUp)
+	defer impatient.stop()
+	replaceable := t.state.AnotherAfterThis()
+	flowing := g.flows.begin(t.choice.Target, giveUp, replaceable)
 	defer g.flows.end(flowing)
+	answer.Within(g.left(t))
 	for {
-		answer.Within(pacing.Pause(t.route, g.limit(t)))
+		if replaceable {
+			impatient.wait(pacing.Pause(t.route))
+		}
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			return g.streamEnded(t, answer)
@@ -40,15 +47,6 @@
 	}
 }
 
-// giveUp returns what ends the wait for a stream's next event, nil if no other
-// target may go on.
-func giveUp(t *journey, answer *exchange.Answer) func() {
-	if !t.state.AnotherAfterThis() {
-		return nil
-	}
-	return func() { answer.Within(0) }
-}
-
 // pass sends one event to the caller; the first one sends the headers before it.
 func (g *Gateway) pass(t *journey, answer *exchange.Answer, event events.Event, more bool) bool {
 	g.begin(t, answer)
