--- a/internal/gateway/impatience_test.go
+++ b/internal/gateway/impatience_test.go
@@ -50,6 +50,7 @@
 	f.daemon.control.do(func() { f.daemon.control.policy.extra = 4 * fewestDaemons })
 	home := atHome(f, writers)
 	release := home.Hold()
+	defer release()
 	var streams sync.WaitGroup
 	results := make([]string, 2)
 	for i, id := range []string{"s1", "s2"} {
