Daemons tell each other the fullest targets; the mean by what targets have told

With 72 daemons each hears from a target every few seconds only: it took a full engine for idle (logs: mean_load 0.3 where it was about 9), sent hot sessions on, and spread others at random over their next engines, as their own was the only one that it had heard of. Now the 12 fullest targets that a daemon knows go with each exchange, and the bound uses the mean of what each target has told this daemon in 10 s, half of them counted at least. Tests: heard_test.go; the exchange's budget of bytes with the loads in it.

--- /dev/null
+++ b/internal/coordination/placement/heard.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Heard is what one target has said of its load, as daemons tell each other. It
+// answers a load pattern of large fleets: a session that many daemons send to its
+// engine, each of which hears from that engine too seldom to know that it is full.
+type Heard struct {
+	Target uint32 // short name: a part of the hash of its id
+	Load   int    // requests that it held
+	Age    time.Duration
+}
+
+// Hottest returns the fullest targets that have said so lately, at most count.
+func (t *Table) Hottest(count int, now time.Time) []Heard {
+	at := now.Sub(t.started)
+	var all []Heard
+	for hash, known := range t.byHash {
+		if known.load.fresh(at) && known.load.others > 0 {
+			all = append(all, Heard{Target: hash, Load: known.load.own + known.load.others, Age: at - known.load.reported})
+		}
+	}
+	slices.SortFunc(all, func(a, b Heard) int {
+		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Target, b.Target))
+	})
+	return all[:min(count, len(all))]
+}
+
+// Hear takes in what another daemon has heard, as far as it is news.
+func (t *Table) Hear(heard []Heard, now time.Time) {
+	at := now.Sub(t.started)
+	for _, each := range heard {
+		known := t.byHash[each.Target]
+		if known == nil {
+			continue
+		}
+		if said := at - each.Age; !known.load.heard || said > known.load.reported {
+			known.load.learn(each.Load, said)
+		}
+	}
+}
+
+// usualLoad is the mean of what a service's targets have told this daemon, each
+// counted once: a daemon that hears of each target seldom does not know the mean by
+// their present loads.
+type usualLoad struct {
+	sum     int
+	heard   int
+	targets int
+}
+
+func (u *usualLoad) add(l *load, at time.Duration) {
+	u.targets++
+	if l.totalAt > 0 && at-l.totalAt < usualLifetime {
+		u.sum += l.total
+		u.heard++
+	}
+}
+
+// mean counts half of the service's targets at least: the few that a daemon hears
+// of may be the full ones.
+func (u *usualLoad) mean() float64 {
+	return float64(u.sum) / max(1, float64(u.heard), float64(u.targets)/2)
+}
--- /dev/null
+++ b/internal/coordination/placement/heard_test.go
@@ -0,0 +1,59 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	. "hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/protocol/relay"
+)
+
+// Many daemons send one session to its engine; each hears from the engine too
+// seldom to know that it is full, unless they tell each other.
+func TestEngineThatAnotherDaemonKnowsIsFullIsPassedOver(t *testing.T) {
+	now := start.Add(time.Minute)
+	told, teller := NewTable("north", start), NewTable("north", start)
+	told.SetMembers(members(8))
+	teller.SetMembers(members(8))
+	home := told.Choose(session("s"), now).Target.ID
+	teller.Report(home, relay.Load{Running: 60, Slots: 64}, now)
+	hottest := teller.Hottest(1, now)
+	must.Len(t, 1, hottest)
+	told.Hear(hottest, now)
+	must.NotEq(t, home, told.Choose(session("s"), now).Target.ID)
+	must.SliceEmpty(t, teller.Hottest(1, now.Add(3*time.Second)), must.Sprint("what is old is not told"))
+}
+
+func TestOlderNewsDoesNotReplaceNewer(t *testing.T) {
+	now := start.Add(time.Minute)
+	table := NewTable("north", start)
+	table.SetMembers(members(8))
+	home := table.Choose(session("s"), now).Target.ID
+	table.Report(home, relay.Load{Running: 60, Slots: 64}, now)
+	heard := table.Hottest(1, now)[0]
+	heard.Load, heard.Age = 1, 500*time.Millisecond
+	table.Hear([]Heard{heard, {Target: 1, Load: 9}}, now) // the second is of no known target
+	must.NotEq(t, home, table.Choose(session("s"), now).Target.ID)
+}
+
+// A daemon of a large fleet has few requests at each engine, and hears of each now
+// and then. Sessions stay with their engines while those hold no more than the
+// others.
+func TestSessionStaysWhereAllEnginesAreAlike(t *testing.T) {
+	const load = 10
+	table := NewTable("north", start)
+	targets := members(8)
+	table.SetMembers(targets)
+	now := start.Add(time.Minute)
+	home := table.Choose(session("s"), now).Target.ID
+	for _, each := range targets {
+		if each.Target.ID != home {
+			table.Report(each.Target.ID, relay.Load{Running: load, Slots: 64}, now)
+		}
+	}
+	now = now.Add(3 * time.Second) // the others' reports are old
+	table.Report(home, relay.Load{Running: load, Slots: 64}, now)
+	must.Eq(t, home, table.Choose(session("s"), now).Target.ID)
+}
--- a/internal/coordination/placement/load.go
+++ b/internal/coordination/placement/load.go
@@ -12,8 +12,32 @@
 	others   int // those of all others, by the target's last report
 	heard    bool
 	reported time.Duration // when that came, since the table's start
+	// total is what the target last told this daemon itself, and totalAt when.
+	total   int
+	totalAt time.Duration
 }
 
+// usualLifetime is how long a target's report to this daemon counts for the mean of
+// its service, which moves more slowly than the load of one target.
+const usualLifetime = 10 * time.Second
+
+// told takes in a report to this daemon, whose own request is among those that the
+// target counts.
+func (l *load) told(total int, at time.Duration) {
+	l.total, l.totalAt = total, at
+	l.learn(total, at)
+}
+
+// learn takes in what the target said at a time, to this daemon or another.
+func (l *load) learn(total int, at time.Duration) {
+	l.others = max(0, total-l.own)
+	l.heard = true
+	l.reported = at
+}
+
+// fresh reports whether the target's report still says something of its load.
+func (l *load) fresh(at time.Duration) bool { return l.heard && at-l.reported < reportLifetime }
+
 // estimate returns the requests that the target holds, as far as is known. At is
 // the time since the table's start.
 func (l *load) estimate(at time.Duration) float64 {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -47,6 +47,7 @@
 	domain   string // this daemon's failure domain
 	services map[string][]*candidate
 	byID     map[string]*candidate
+	byHash   map[uint32]*candidate   // by the short name of Heard
 	warm     map[dispatched]struct{} // sessions sent to engines by this daemon
 	last     map[string]*candidate   // engine that this daemon last sent each part to
 	started  time.Time
@@ -112,6 +113,7 @@
 func (t *Table) SetMembers(members []roster.Member) {
 	services := make(map[string][]*candidate)
 	byID := make(map[string]*candidate, len(members))
+	byHash := make(map[uint32]*candidate, len(members))
 	for _, member := range members {
 		known := t.byID[member.Target.ID]
 		if known == nil || !known.target.Same(member.Target) {
@@ -119,10 +121,12 @@
 		}
 		known.target = member.Target
 		byID[member.Target.ID] = known
+		byHash[uint32(known.seed)] = known
 		services[member.Target.Service] = append(services[member.Target.Service], known)
 	}
 	t.services = services
 	t.byID = byID
+	t.byHash = byHash
 }
 
 // Start notes that a request goes to a target.
@@ -155,9 +159,7 @@
 	if known == nil {
 		return
 	}
-	known.load.others = max(0, report.Running+report.Waiting-known.load.own)
-	known.load.heard = true
-	known.load.reported = now.Sub(t.started)
+	known.load.told(report.Running+report.Waiting, now.Sub(t.started))
 }
 
 // Choose returns where a request goes; its target is nil if there is none.
@@ -208,6 +210,7 @@
 	var home ranked             // first of all that hold prompts
 	var idlest *candidate
 	idlestLoad, sum, count := 0.0, 0.0, 0
+	var usual usualLoad
 	at := now.Sub(t.started)
 	for _, known := range candidates {
 		next := ranked{known, ranking.Mix(query.Session ^ known.seed)}
@@ -220,6 +223,7 @@
 		estimate := known.load.estimate(at)
 		sum += estimate
 		count++
+		usual.add(&known.load, at)
 		idler := idlest == nil || estimate < idlestLoad
 		if !idler && !next.ahead(order[preferred-1]) || query.Excluded(known.target.ID) {
 			continue
@@ -233,7 +237,7 @@
 		return Choice{}
 	}
 	chosen := idlest
-	limit := boundFactor*sum/float64(count) + boundSlack
+	limit := boundFactor*max(sum/float64(count), usual.mean()) + boundSlack
 	for _, next := range order {
 		if next.candidate != nil && next.candidate.load.estimate(at) < limit {
 			chosen = next.candidate
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -306,3 +306,15 @@
 		c.do(func() { c.targets.Report(id, *load, time.Now()) })
 	}
 }
+
+// hottest returns the fullest targets, as far as is known.
+func (c *control) hottest(count int) []placement.Heard {
+	var hottest []placement.Heard
+	c.do(func() { hottest = c.targets.Hottest(count, time.Now()) })
+	return hottest
+}
+
+// hear takes in the loads that another daemon knows.
+func (c *control) hear(heard []placement.Heard) {
+	c.do(func() { c.targets.Hear(heard, time.Now()) })
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/member"
+	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/transport/mesh"
 	"hemlockknot/platform"
@@ -18,6 +19,8 @@
 	exchangeInterval = 400 * time.Millisecond
 	// gossiped is how many daemons' entries go with an exchange.
 	gossiped = 4
+	// loadsTold is how many targets' loads go with an exchange, the fullest first.
+	loadsTold = 12
 	// behindAfter is how long a peer may know a later change to the list of
 	// targets before this daemon takes its own watch for dead.
 	behindAfter = 500 * time.Millisecond
@@ -126,13 +129,33 @@
 	p.mu.Lock()
 	members := p.table.Sample(random, gossiped, time.Now())
 	p.mu.Unlock()
-	return &peerpb.MeshState{
+	state := &peerpb.MeshState{
 		Members:         members,
 		DocumentVersion: p.gateway.document.version(),
 		TargetsRevision: p.gateway.targets.lastChange(),
 		StoreAway:       !p.gateway.targets.following(),
 		StoreAgeMs:      uint32(p.storeAge(time.Now()).Milliseconds()),
 	}
+	for _, heard := range p.gateway.control.hottest(loadsTold) {
+		state.LoadTargets = append(state.LoadTargets, heard.Target)
+		state.Loads = append(state.Loads, uint32(heard.Load))
+		state.LoadAgesMs = append(state.LoadAgesMs, uint32(heard.Age.Milliseconds()))
+	}
+	return state
+}
+
+// heardBy returns the loads that a peer has told.
+func heardBy(theirs *peerpb.MeshState) []placement.Heard {
+	count := min(len(theirs.GetLoadTargets()), len(theirs.GetLoads()), len(theirs.GetLoadAgesMs()))
+	heard := make([]placement.Heard, count)
+	for i := range heard {
+		heard[i] = placement.Heard{
+			Target: theirs.GetLoadTargets()[i],
+			Load:   int(theirs.GetLoads()[i]),
+			Age:    time.Duration(theirs.GetLoadAgesMs()[i]) * time.Millisecond,
+		}
+	}
+	return heard
 }
 
 // addLacking adds what the daemon that asks lacks.
@@ -153,6 +176,7 @@
 // merge takes in what a peer has told.
 func (p *peers) merge(theirs *peerpb.MeshState) {
 	p.mergeDocument(theirs)
+	p.gateway.control.hear(heardBy(theirs))
 	if entries := theirs.GetTargets(); len(entries) > 0 {
 		var changes []platform.Change
 		for _, entry := range entries {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -114,6 +114,11 @@
 	f.daemon.peers.merge(&peerpb.MeshState{Members: members})
 	state := f.daemon.peers.state(rand.New(rand.NewPCG(1, 1)))
 	must.Len(t, gossiped, state.GetMembers())
+	for i := len(state.GetLoadTargets()); i < loadsTold; i++ {
+		state.LoadTargets = append(state.LoadTargets, 1<<31)
+		state.Loads = append(state.Loads, 200)
+		state.LoadAgesMs = append(state.LoadAgesMs, 1999)
+	}
 	perSecond := float64(proto.Size(state)+rpcOverhead) * messagesEach * roundsASecond
 	must.LessEq(t, float64(budget), perSecond)
 }
