Take a daemon's own pause for no silence of its targets

Found while reading the change: a timer of silence that fires late, as after a freeze, gave streams up whose events had come but were not read yet, and one that fires while an event is taken in gave up all the same. TestOwnPauseIsNotSilence.

--- a/internal/gateway/impatience.go
+++ b/internal/gateway/impatience.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// askAgain is the pause after which a retry that was denied is asked for again.
-const askAgain = 200 * time.Millisecond
+const (
+	// askAgain is the pause after which a retry that was denied is asked for again.
+	askAgain = 200 * time.Millisecond
+	// lateFire is how late a timer may fire: later than that this daemon itself stood
+	// still, and what has come meanwhile is still to be read.
+	lateFire = 100 * time.Millisecond
+)
 
 // impatience ends the wait for a silent target, once another try has been
 // granted: without one, an answer that may still come is better than none.
@@ -16,6 +21,7 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	due   time.Time // when the silence is over
 	ended bool
 }
 
@@ -32,10 +38,15 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.ended {
-		i.timer.Reset(silence)
+		i.arm(silence)
 	}
 }
 
+func (i *impatience) arm(silence time.Duration) {
+	i.due = time.Now().Add(silence)
+	i.timer.Reset(silence)
+}
+
 // stop ends the waiting; nothing is given up afterwards.
 func (i *impatience) stop() {
 	i.mu.Lock()
@@ -47,11 +58,14 @@
 func (i *impatience) fire() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	late := time.Since(i.due)
 	switch {
-	case i.ended:
+	case i.ended || late < 0: // or the silence has ended meanwhile
+	case late > lateFire:
+		i.arm(askAgain)
 	case i.grant():
 		i.giveUp()
 	default:
-		i.timer.Reset(askAgain)
+		i.arm(askAgain)
 	}
 }
--- a/internal/gateway/impatience_test.go
+++ b/internal/gateway/impatience_test.go
@@ -43,6 +43,21 @@
 	})
 }
 
+// A daemon that was frozen must read what has come before it takes the silence for
+// its targets'.
+func TestOwnPauseIsNotSilence(t *testing.T) {
+	gaveUp := false
+	i := newImpatience(func() bool { return true }, func() { gaveUp = true })
+	i.wait(time.Hour)
+	i.due = time.Now().Add(-time.Second) // as after a pause
+	i.fire()
+	must.False(t, gaveUp)
+	i.due = time.Now()
+	i.fire()
+	must.True(t, gaveUp)
+	i.stop()
+}
+
 // Two streams of one engine fall silent with one retry left: one goes on
 // elsewhere, and the other is waited for.
 func TestStreamWithoutARetryIsNotBrokenOffForSilence(t *testing.T) {
