--- a/internal/gateway/pack_test.go
+++ b/internal/gateway/pack_test.go
@@ -37,3 +37,14 @@
 		must.Error(t, err, must.Sprint(name))
 	}
 }
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(pack([]byte(`{"version":1}`)))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		spec, err := unpack(packed)
+		if err == nil {
+			must.LessEq(t, maxUnpacked, len(spec))
+		}
+	})
+}
