Take the mean by present estimates again

The mean of what targets had told in 10 s lies above the present mean when load falls or engines come, and lets daemons fill engines that they would pass over.

--- a/internal/coordination/placement/heard.go
+++ b/internal/coordination/placement/heard.go
@@ -43,26 +43,3 @@
 		}
 	}
 }
-
-// usualLoad is the mean of what a service's targets have told this daemon, each
-// counted once: a daemon that hears of each target seldom does not know the mean by
-// their present loads.
-type usualLoad struct {
-	sum     int
-	heard   int
-	targets int
-}
-
-func (u *usualLoad) add(l *load, at time.Duration) {
-	u.targets++
-	if l.totalAt > 0 && at-l.totalAt < usualLifetime {
-		u.sum += l.total
-		u.heard++
-	}
-}
-
-// mean counts half of the service's targets at least: the few that a daemon hears
-// of may be the full ones.
-func (u *usualLoad) mean() float64 {
-	return float64(u.sum) / max(1, float64(u.heard), float64(u.targets)/2)
-}
--- a/internal/coordination/placement/load.go
+++ b/internal/coordination/placement/load.go
@@ -12,20 +12,6 @@
 	others   int // those of all others, by the target's last report
 	heard    bool
 	reported time.Duration // when that came, since the table's start
-	// total is what the target last told this daemon itself, and totalAt when.
-	total   int
-	totalAt time.Duration
-}
-
-// usualLifetime is how long a target's report to this daemon counts for the mean of
-// its service, which moves more slowly than the load of one target.
-const usualLifetime = 10 * time.Second
-
-// told takes in a report to this daemon, whose own request is among those that the
-// target counts.
-func (l *load) told(total int, at time.Duration) {
-	l.total, l.totalAt = total, at
-	l.learn(total, at)
 }
 
 // learn takes in what the target said at a time, to this daemon or another.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -159,7 +159,7 @@
 	if known == nil {
 		return
 	}
-	known.load.told(report.Running+report.Waiting, now.Sub(t.started))
+	known.load.learn(report.Running+report.Waiting, now.Sub(t.started))
 }
 
 // Choose returns where a request goes; its target is nil if there is none.
@@ -210,7 +210,6 @@
 	var home ranked             // first of all that hold prompts
 	var idlest *candidate
 	idlestLoad, sum, count := 0.0, 0.0, 0
-	var usual usualLoad
 	at := now.Sub(t.started)
 	for _, known := range candidates {
 		next := ranked{known, ranking.Mix(query.Session ^ known.seed)}
@@ -223,7 +222,6 @@
 		estimate := known.load.estimate(at)
 		sum += estimate
 		count++
-		usual.add(&known.load, at)
 		idler := idlest == nil || estimate < idlestLoad
 		if !idler && !next.ahead(order[preferred-1]) || query.Excluded(known.target.ID) {
 			continue
@@ -237,7 +235,7 @@
 		return Choice{}
 	}
 	chosen := idlest
-	limit := boundFactor*max(sum/float64(count), usual.mean()) + boundSlack
+	limit := boundFactor*sum/float64(count) + boundSlack
 	for _, next := range order {
 		if next.candidate != nil && next.candidate.load.estimate(at) < limit {
 			chosen = next.candidate
