--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,7 @@
 	// targets before this daemon takes its own watch for dead.
 	behindAfter = 500 * time.Millisecond
 	// lookouts of each failure domain follow the store; the others are told.
-	lookouts = 2
+	lookouts = 3
 	// trusted is how old what peers tell may be, by the store's last answer. A
 	// lookout's answers come every 2 s at least.
 	trusted = 5 * time.Second
