--- a/internal/gateway/document.go
+++ b/internal/gateway/document.go
@@ -35,17 +35,18 @@
 	return 0
 }
 
-// newer returns the configuration for a peer that has an older version, else nil.
-func (f *inForce) newer(than int64) []byte {
+// newer returns the configuration for a peer that has an older version, and its
+// version; else none.
+func (f *inForce) newer(than int64) (packed []byte, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table == nil || f.table.Document.Version <= than {
-		return nil
+		return nil, 0
 	}
 	if f.packed == nil {
 		f.packed = pack(f.spec)
 	}
-	return f.packed
+	return f.packed, f.table.Document.Version
 }
 
 // offer puts a table in force unless one of the same or a higher version is.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -160,7 +160,9 @@
 
 // addLacking adds what the daemon that asks lacks.
 func (p *peers) addLacking(ours, theirs *peerpb.MeshState) {
-	ours.Document = p.gateway.document.newer(theirs.GetDocumentVersion())
+	if packed, version := p.gateway.document.newer(theirs.GetDocumentVersion()); packed != nil {
+		ours.Document, ours.DocumentVersion = packed, version
+	}
 	if theirs.GetStoreAway() && ours.GetTargetsRevision() > theirs.GetTargetsRevision() {
 		changes, whole, until := p.gateway.targets.since(theirs.GetTargetsRevision())
 		ours.Whole = whole
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -64,6 +64,18 @@
 	second.eventually(func() bool { return second.daemon.targets.watch.asked() > 0 })
 }
 
+// A configuration that comes into force while an answer to a peer is made must go
+// with its own version: the peer passes over what it has.
+func TestConfigurationGoesWithItsOwnVersion(t *testing.T) {
+	f, _, _ := newFleet(t)
+	before := f.daemon.peers.state(rand.New(rand.NewPCG(1, 1)))
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(2, standin.Key))
+	f.eventually(func() bool { return f.daemon.document.version() == 2 })
+	f.daemon.peers.addLacking(before, &peerpb.MeshState{DocumentVersion: 1})
+	must.SliceNotEmpty(t, before.GetDocument())
+	must.Eq(t, 2, before.GetDocumentVersion())
+}
+
 func TestRetryBudgetIsSharedAmongDaemons(t *testing.T) {
 	f, _, _ := newFleet(t)
 	must.Eq(t, fewestDaemons, f.daemon.daemons())
