--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -205,8 +205,7 @@
 // deadline. It is told that the request has not run.
 func TestBodyThatDoesNotArriveIsRefused(t *testing.T) {
 	f, _, desks := newFixture(t)
-	status := f.sendRaw("POST /bookings/1 HTTP/1.1\r\nHost: " + standin.RouteHost + "\r\nX-Request-Id: b1\r\nX-Key: " + standin.WorkspaceKey +
-		"\r\nX-Deadline-Ms: 300\r\nContent-Length: 100\r\n\r\nonly the beginning")
+	status := f.sendRaw(standin.IncompleteRequest("b1", "300"))
 	must.Eq(t, "HTTP/1.1 408 Request Timeout", status)
 	must.Eq(t, 0, countRuns("b1", desks[:]...))
 }
