--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -25,6 +25,7 @@
 	{"the store is unavailable", func(s *soakRun) { s.impairStore(standin.StoreUnavailable) }},
 	{"the store is slow", func(s *soakRun) { s.impairStore(standin.StoreSlow) }},
 	{"the store drops its history and watches", func(s *soakRun) { s.store.DiscardHistory() }},
+	{"the store is restored from a copy", (*soakRun).restoreStore},
 	{"targets fail requests", (*soakRun).failTargets},
 	{"a target crashes and is replaced", (*soakRun).crashTarget},
 	{"a target drains and is replaced", (*soakRun).drainTarget},
@@ -83,9 +84,25 @@
 	s.store.SetMode(standin.StoreServing)
 }
 
+// restoreStore restores the store from a copy that is some time old. The operator and
+// the targets then write again what they had written since.
+func (s *soakRun) restoreStore() {
+	copied := s.store.Copy()
+	time.Sleep(s.randomFaultDuration())
+	s.store.Restore(copied)
+	time.Sleep(s.randomDuration(minFaultDuration))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeDocument()
+	for _, target := range s.liveTargets {
+		s.store.Put(platform.KindTargets, target.ID, target.Spec(target.service, "north", "ready"))
+	}
+}
+
 // failTargets makes random targets fail their next requests, each by random faults.
 func (s *soakRun) failTargets() {
-	targetFaults := []standin.Fault{standin.RejectBusy, standin.ErrorAfterRun, standin.CloseAfterRun, standin.HangAfterRun, standin.ExtraResponse, standin.TruncateStream, standin.MismatchedResponse}
+	targetFaults := []standin.Fault{standin.RejectBusy, standin.ErrorAfterRun, standin.CloseAfterRun, standin.HangAfterRun, standin.ExtraResponse, standin.TruncateStream, standin.MismatchedResponse, standin.RejectForAWhile,
+		standin.DripWithinEvent, standin.EndlessHeaderFields, standin.EndlessBody, standin.EndlessEvent}
 	for range 3 {
 		target := s.randomTarget().Target
 		var nextFaults []standin.Fault
@@ -112,6 +129,7 @@
 	drained := s.removeRandomTarget()
 	s.addTarget(drained.service)
 	s.store.Put(platform.KindTargets, drained.ID, drained.Spec(drained.service, "north", "draining"))
+	drained.SetLeaving()
 	time.Sleep(maxFaultDuration)
 	s.store.Delete(platform.KindTargets, drained.ID)
 	time.Sleep(maxFaultDuration)
@@ -124,6 +142,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.documentVersion++
+	s.writeDocument()
+}
+
+// writeDocument writes the newest version of the configuration. The caller holds mu.
+func (s *soakRun) writeDocument() {
 	s.store.Put(platform.KindDocument, platform.DocumentName, standin.DocumentWithExtraRoutes(s.documentVersion, standin.WorkspaceKey, s.documentVersion%50))
 }
 
