--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -54,6 +54,7 @@
 	byHash      map[uint32]*candidate // by the low 32 bits of the hash of the id
 	dispatches  map[dispatch]struct{} // sessions that this daemon has sent to engines
 	lastTarget  map[string]*candidate // by id of a prompt's part: the engine that this daemon last sent it to
+	holders     holders
 	createdAt   time.Time
 }
 
@@ -77,6 +78,8 @@
 	// FetchFrom is the engine that probably holds more of the cached prompt than
 	// Target; nil if there is none.
 	FetchFrom *fleet.Target
+	// NewSession reports that this daemon has not sent the request's session to Target.
+	NewSession bool
 	// Home is the session's highest-ranked reachable engine; nil if there is none or
 	// if the request has no session.
 	Home     *fleet.Target
@@ -105,6 +108,7 @@
 		byID:        make(map[string]*candidate),
 		dispatches:  make(map[dispatch]struct{}),
 		lastTarget:  make(map[string]*candidate),
+		holders:     holders{bySession: make(map[uint32][]sessionHolder)},
 		createdAt:   now,
 	}
 }
@@ -157,7 +161,7 @@
 }
 
 // RecordStart records that a request is sent to a target.
-func (t *Table) RecordStart(id string, query Query) {
+func (t *Table) RecordStart(id string, query Query, now time.Time) {
 	c := t.byID[id]
 	if c == nil {
 		return
@@ -167,6 +171,7 @@
 		return
 	}
 	t.recordDispatch(dispatch{query.Session, c})
+	t.holders.record(uint32(query.Session), c, now.Sub(t.createdAt), sharedTokens(query.Parts))
 	for _, part := range query.Parts[:len(query.Parts)-1] {
 		t.lastTarget[part.ID] = c
 	}
@@ -272,6 +277,8 @@
 		}
 	}
 	choice := newChoice(chosen, t.fetchSource(chosen, home.candidate, query, now), totalLoad, count, elapsed)
+	_, sent := t.dispatches[dispatch{query.Session, chosen}]
+	choice.NewSession = !sent
 	if homeCandidate := home.candidate; homeCandidate != nil {
 		choice.Home, choice.HomeLoad = homeCandidate.target, homeCandidate.load.estimate(elapsed)
 	}
@@ -279,18 +286,18 @@
 }
 
 // fetchSource returns the engine from which the chosen one should fetch the part
-// of the cached prompt that it lacks: the engine to which this daemon last sent
-// the session, else the session's home, else the home before the chosen engine
+// of the cached prompt that it lacks: an engine that is known to hold the session's
+// prompt, else the session's home, else the home before the chosen engine
 // started, else an engine that holds the beginning of the prompt. It returns nil
 // if there is none, or if this daemon has sent the session to the chosen engine.
 func (t *Table) fetchSource(chosen, home *candidate, query Query, now time.Time) *candidate {
 	if _, sent := t.dispatches[dispatch{query.Session, chosen}]; sent {
 		return nil
 	}
-	shared := query.Parts[:len(query.Parts)-1]
-	if last := t.lastTargetFor(shared[len(shared)-1], query); last != nil && last != chosen {
-		return last
+	if holder := t.holderOf(query, chosen, home, now.Sub(t.createdAt)); holder != nil {
+		return holder
 	}
+	shared := query.Parts[:len(query.Parts)-1]
 	if home != nil && home != chosen {
 		return home
 	}
@@ -387,6 +394,7 @@
 func (t *Table) ForgetDispatch(id string, session uint64) {
 	if c := t.byID[id]; c != nil {
 		delete(t.dispatches, dispatch{session, c})
+		t.holders.forget(uint32(session), c)
 	}
 }
 
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -91,7 +91,7 @@
 	query.Excluded = func(id string) bool { return id == home }
 	first := table.Choose(query, now)
 	must.Eq(t, home, first.FetchFrom.ID)
-	table.RecordStart(first.Target.ID, query)
+	table.RecordStart(first.Target.ID, query, now)
 	must.Nil(t, table.Choose(query, now).FetchFrom)
 	table.ForgetDispatch(first.Target.ID, query.Session)
 	must.NotNil(t, table.Choose(query, now).FetchFrom)
@@ -108,7 +108,7 @@
 	started := make(map[string]int)
 	for range 64 {
 		id := table.Choose(query, now).Target.ID
-		table.RecordStart(id, query)
+		table.RecordStart(id, query, now)
 		started[id]++
 	}
 	must.Greater(t, 1, len(started))
@@ -144,7 +144,7 @@
 	for range 6 {
 		id := table.Choose(query, now).Target.ID
 		order = append(order, id)
-		table.RecordStart(id, query)
+		table.RecordStart(id, query, now)
 	}
 	must.Eq(t, []string{"e0", "e0"}, order[:2])
 	must.SliceContains(t, order, "e1")
--- a/internal/coordination/placement/simulation_test.go
+++ b/internal/coordination/placement/simulation_test.go
@@ -85,7 +85,7 @@
 	)
 	daemon := s.daemons[s.random.IntN(len(s.daemons))]
 	id := daemon.Choose(query, now).Target.ID
-	daemon.RecordStart(id, query)
+	daemon.RecordStart(id, query, now)
 	s.schedule(now, linkDelay, func(now time.Time) {
 		mean := float64(s.total) / float64(engines)
 		s.overBound = append(s.overBound, float64(s.inFlight[id]) > 2*mean+3)
--- a/internal/coordination/timing/timing.go
+++ b/internal/coordination/timing/timing.go
@@ -21,6 +21,10 @@
 	// prefillTimePerToken is the prefill time allowed for a token of the prompt: about
 	// three times what the users' engines take.
 	prefillTimePerToken = 30 * time.Microsecond
+	// promptHoldFactor is the part of the objective for which a request may wait for its
+	// session's prompt to be read for another request. Reading it once more would take
+	// as long.
+	promptHoldFactor = 0.25
 )
 
 // FirstByteTimeout returns how long to wait for the first byte of a target's answer
@@ -35,6 +39,16 @@
 	return time.Duration(plainFirstByteFactor * float64(route.LatencyObjective))
 }
 
+// MaxPromptHold returns how long a request may wait until an engine has read the prompt
+// of its session for another request.
+func MaxPromptHold(route *routing.Route, call relay.Call) time.Duration {
+	hold := time.Duration(call.PromptTokens) * prefillTimePerToken
+	if route.LatencyObjective > 0 {
+		hold = min(hold, time.Duration(promptHoldFactor*float64(route.LatencyObjective)))
+	}
+	return hold
+}
+
 // PauseTimeout returns how long to wait for the next event of a stream that has begun
 // before the stream is resumed at another target, if that is allowed.
 func PauseTimeout(route *routing.Route) time.Duration {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -27,7 +27,8 @@
 	placement     *placement.Table
 	outlier       *outlier.Tracker
 	domains       *cutoff.Domains
-	ownDomain     string                     // failure domain of this daemon
+	ownDomain     string // failure domain of this daemon
+	promptReads   *promptReads
 	budgets       map[string]*attempt.Budget // by service
 	budgetPolicy  budgetPolicy
 	hasTargets    bool          // the roster has had a target
@@ -50,6 +51,7 @@
 		outlier:       outlier.New(),
 		domains:       cutoff.NewDomains(),
 		ownDomain:     domain,
+		promptReads:   newPromptReads(),
 		budgets:       make(map[string]*attempt.Budget),
 		budgetPolicy:  policy,
 		targetsLoaded: make(chan struct{}),
@@ -253,10 +255,16 @@
 	return c.budgetPolicy.fleetExtra / float64(max(1, c.budgetPolicy.daemons()))
 }
 
-// chooseTarget chooses the target of the next attempt and counts the request as in
-// flight there. It leaves out the targets in tried and those in failure domains that are
-// cut off, and chooses an ejected target only if there is no other.
-func (c *coordinator) chooseTarget(service string, parts []relay.PromptPart, tried map[string]bool) placement.Choice {
+// chooseTarget chooses the target of the request's next attempt and counts the request as
+// in flight there. It leaves out the targets that have been tried and those in failure
+// domains that are cut off, and chooses an ejected target only if there is no other.
+//
+// If the target is reading the prompt of the request's session for another request and
+// the request may wait, chooseTarget chooses none and returns a channel that is closed
+// when the prompt has been read.
+func (c *coordinator) chooseTarget(req *relayedRequest, mayWait bool) (placement.Choice, <-chan struct{}) {
+	service, parts, tried := req.service, req.call.Parts, req.triedTargets
+	var wait chan struct{}
 	var choice placement.Choice
 	c.do(func() {
 		now := time.Now()
@@ -277,12 +285,28 @@
 			}
 			choice = c.placement.Choose(query, now)
 		}
-		if choice.Target != nil {
-			c.outlier.RecordRequest(choice.Target.ID, now)
-			c.placement.RecordStart(choice.Target.ID, query)
+		if choice.Target == nil {
+			return
+		}
+		read := promptRead{query.Session, choice.Target.ID}
+		if wait = c.promptReads.running[read]; wait != nil && mayWait {
+			return
 		}
+		if readsPrompt(choice, req.route) {
+			c.promptReads.begin(read)
+		}
+		c.outlier.RecordRequest(choice.Target.ID, now)
+		c.placement.RecordStart(choice.Target.ID, query, now)
 	})
-	return choice
+	if wait != nil && mayWait {
+		return placement.Choice{}, wait
+	}
+	return choice, nil
+}
+
+// endPromptRead records that a target has read the prompt of a session.
+func (c *coordinator) endPromptRead(target *fleet.Target, session uint64) {
+	c.do(func() { c.promptReads.end(promptRead{session, target.ID}) })
 }
 
 // finishAttempt records the end of an attempt and reports whether its outcome ejects
@@ -291,6 +315,7 @@
 func (c *coordinator) finishAttempt(target *fleet.Target, session uint64, outcome outlier.Outcome, conclusive bool) bool {
 	ejected := false
 	c.do(func() {
+		c.promptReads.end(promptRead{session, target.ID})
 		c.placement.RecordEnd(target.ID)
 		if outcome != outlier.Served {
 			c.placement.ForgetDispatch(target.ID, session)
@@ -405,7 +430,19 @@
 	return loads
 }
 
-// mergeLoads merges the target loads received from another daemon.
-func (c *coordinator) mergeLoads(loads []placement.ReportedLoad) {
-	c.do(func() { c.placement.MergeLoads(loads, time.Now()) })
+// mergeLoads merges the target loads and the holders of prompts received from another
+// daemon.
+func (c *coordinator) mergeLoads(loads []placement.ReportedLoad, holders []placement.Holder) {
+	c.do(func() {
+		now := time.Now()
+		c.placement.MergeLoads(loads, now)
+		c.placement.MergeHolders(holders, now)
+	})
+}
+
+// takeUntoldHolders returns holders of prompts to tell another daemon of, at most count.
+func (c *coordinator) takeUntoldHolders(count int) []placement.Holder {
+	var holders []placement.Holder
+	c.do(func() { holders = c.placement.TakeUntold(count, time.Now()) })
+	return holders
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -60,6 +60,9 @@
 // countTargetRefusal counts a response by which a target asks for no requests for a time.
 func (c *counters) countTargetRefusal() { c.scope.Counter("target_refusals_total").Inc(1) }
 
+// countPromptWait counts a request that was held back while its session's prompt was read.
+func (c *counters) countPromptWait() { c.scope.Counter("prompt_waits_total").Inc(1) }
+
 // countRetry counts a retry by the reason for which the previous attempt failed.
 func (c *counters) countRetry(reason string) {
 	c.scope.Tagged(map[string]string{"reason": reason}).Counter("retries_total").Inc(1)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,9 @@
 	// staleWatchAfter is how long a peer may know a newer list of targets before this
 	// daemon treats its own watch as dead.
 	staleWatchAfter = 500 * time.Millisecond
+	// holdersPerExchange is how many holders of prompts are sent in an exchange, those
+	// of the largest prompts first.
+	holdersPerExchange = 8
 	// minRoundSpacing is the least time between two rounds of exchanges. News starts a
 	// round before the interval is over.
 	minRoundSpacing = 50 * time.Millisecond
@@ -228,9 +231,30 @@
 		state.Loads = append(state.Loads, uint32(load.Requests))
 		state.LoadAgesMs = append(state.LoadAgesMs, uint32(load.Age.Milliseconds()))
 	}
+	for _, holder := range p.gateway.coordinator.takeUntoldHolders(holdersPerExchange) {
+		state.PromptSessions = append(state.PromptSessions, holder.SessionHash)
+		state.PromptTargets = append(state.PromptTargets, holder.TargetHash)
+		state.PromptAgesMs = append(state.PromptAgesMs, uint32(holder.Age.Milliseconds()))
+		state.PromptTokens = append(state.PromptTokens, uint32(holder.Tokens))
+	}
 	return state
 }
 
+// decodeHolders returns the holders of prompts in a peer's state.
+func decodeHolders(remote *peerpb.MeshState) []placement.Holder {
+	count := min(len(remote.GetPromptSessions()), len(remote.GetPromptTargets()), len(remote.GetPromptAgesMs()), len(remote.GetPromptTokens()))
+	holders := make([]placement.Holder, count)
+	for i := range holders {
+		holders[i] = placement.Holder{
+			SessionHash: remote.GetPromptSessions()[i],
+			TargetHash:  remote.GetPromptTargets()[i],
+			Age:         time.Duration(remote.GetPromptAgesMs()[i]) * time.Millisecond,
+			Tokens:      int(remote.GetPromptTokens()[i]),
+		}
+	}
+	return holders
+}
+
 // decodeLoads returns the target loads in a peer's state.
 func decodeLoads(remote *peerpb.MeshState) []placement.ReportedLoad {
 	count := min(len(remote.GetLoadTargets()), len(remote.GetLoads()), len(remote.GetLoadAgesMs()))
@@ -267,7 +291,7 @@
 // list of targets to be dead, merge aborts the watch's call so that it starts again.
 func (p *peers) merge(remote *peerpb.MeshState) {
 	p.mergeConfig(remote)
-	p.gateway.coordinator.mergeLoads(decodeLoads(remote))
+	p.gateway.coordinator.mergeLoads(decodeLoads(remote), decodeHolders(remote))
 	if age := remote.GetStoreReturnAgeMs(); age > 0 {
 		p.gateway.targets.recordStoreReturnOfPeer(time.Now().Add(-time.Duration(age) * time.Millisecond))
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -84,7 +84,16 @@
 		req.reason = "out_of_time"
 		return attempt.DeadlineExceeded
 	}
-	choice := g.coordinator.chooseTarget(req.service, req.call.Parts, req.triedTargets)
+	choice, promptRead := g.coordinator.chooseTarget(req, true)
+	if promptRead != nil {
+		g.awaitPromptRead(req.r.Context(), req, promptRead)
+		g.metrics.countPromptWait()
+		if remaining = time.Until(req.deadline); remaining <= 0 {
+			req.reason = "out_of_time"
+			return attempt.DeadlineExceeded
+		}
+		choice, _ = g.coordinator.chooseTarget(req, false)
+	}
 	if choice.Target == nil {
 		req.reason = "no_target"
 		return attempt.NoTarget
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"hemlockknot/internal/coordination/attempt"
 	"hemlockknot/internal/coordination/outlier"
+	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/coordination/timing"
 	"hemlockknot/internal/protocol/events"
 	"hemlockknot/internal/transport/exchange"
@@ -24,7 +25,7 @@
 	stream := g.streams.add(req.choice.Target, cancel, retryable)
 	defer g.streams.remove(stream)
 	response.SetReadTimeout(g.responseTimeout(req))
-	for {
+	for first := true; ; first = false {
 		if retryable {
 			silence.restart(timing.PauseTimeout(req.route))
 		}
@@ -37,6 +38,9 @@
 			return g.handleStreamError(req, err)
 		}
 		g.streams.recordEvent(stream)
+		if first {
+			g.coordinator.endPromptRead(req.choice.Target, placement.SessionKey(req.call.Parts))
+		}
 		if event.ID != 0 && event.ID <= req.lastEventID {
 			continue // the caller has received this event already
 		}
