Watches of the store wait as long as the users' contactMs allows

A watch waited 2 s everywhere, so that a dead connection is found within the 3 s of the small sites. Larger sites allow 4 and 5 s, and each watch is a call: contactMs less 1 s, 2 s at least, so nothing changes on the small sites.

--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -18,9 +18,6 @@
 	// failure domains, three daemons of each follow: one may be stopped and another be
 	// refused by the store.
 	minFollowers = 9
-	// responseInterval is the longest time between two responses of the store to a
-	// daemon that follows it.
-	responseInterval = 2 * time.Second
 	// settleTime is how long after its start a daemon may be unaware of the others of
 	// its failure domain. All daemons of a fleet may start within 0.3 s, and it takes 20
 	// rounds until each of 470 has heard of the first one of its domain.
@@ -45,6 +42,7 @@
 	Preceding    int           // live daemons of the failure domain that come before this one
 	DomainSize   int           // daemons of the failure domain, this one included
 	RoundSpacing time.Duration // time between two rounds of exchanges with other daemons
+	ResponseGap  time.Duration // longest time between two responses of the store to a daemon that follows it
 }
 
 // Followers returns how many daemons of each failure domain follow the store.
@@ -69,5 +67,5 @@
 	if waiting := k.Preceding - Followers(k.Domains); waiting > 0 {
 		rounds += takeoverRounds * waiting
 	}
-	return responseInterval + time.Duration(rounds)*k.RoundSpacing
+	return k.ResponseGap + time.Duration(rounds)*k.RoundSpacing
 }
--- a/internal/coordination/storefollow/storefollow_test.go
+++ b/internal/coordination/storefollow/storefollow_test.go
@@ -16,12 +16,13 @@
 
 const (
 	spacing = 400 * time.Millisecond // between two rounds of exchanges
+	gap     = 2 * time.Second        // between two responses of the store
 	// entriesPerExchange is how many members' entries an exchange carries.
 	entriesPerExchange = 4
 )
 
 func TestMustFollow(t *testing.T) {
-	settled := Knowledge{SinceStart: time.Hour, KnowsSeeds: true, Domains: 3, DomainSize: 24, RoundSpacing: spacing}
+	settled := Knowledge{SinceStart: time.Hour, KnowsSeeds: true, Domains: 3, DomainSize: 24, RoundSpacing: spacing, ResponseGap: gap}
 	cases := []struct {
 		name   string
 		change func(k *Knowledge)
@@ -115,7 +116,7 @@
 		preceding, size := d.table.Preceding(now)
 		d.follows = Knowledge{
 			DataAge: now.Sub(d.confirmedAt), SinceStart: now.Sub(s.start), IsSeed: d.isSeed, KnowsSeeds: true,
-			Domains: s.domains, Preceding: preceding, DomainSize: size, RoundSpacing: spacing,
+			Domains: s.domains, Preceding: preceding, DomainSize: size, RoundSpacing: spacing, ResponseGap: gap,
 		}.MustFollow()
 		if !d.follows {
 			continue
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -390,6 +390,7 @@
 		Preceding:    preceding,
 		DomainSize:   domainSize,
 		RoundSpacing: exchangeInterval,
+		ResponseGap:  watchTimeout(p.gateway.settings),
 	}.MustFollow()
 }
 
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -34,7 +34,7 @@
 
 func newTargetList(g *Gateway) *targetList {
 	list := &targetList{gateway: g, view: targetview.New()}
-	list.watch = newWatcher(platform.KindTargets, g.store, g.log, targetsBatchDelay)
+	list.watch = newWatcher(platform.KindTargets, g, targetsBatchDelay)
 	list.watch.onList = list.replaceFromStore
 	list.watch.onChanges = list.applyFromStore
 	list.watch.onStopped = list.setNotFollowing
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,11 +13,14 @@
 
 // Timing of the watches of the store.
 const (
-	// watchTimeout is how long one watch may wait at the store for a change. Together
-	// with the time allowed for the call itself, it limits how long a dead connection
-	// goes unnoticed: less than the users' contactMs of 3 s.
-	watchTimeout = 2 * time.Second
-	// recoveryWatchTimeout replaces watchTimeout after a failed call. During a longer
+	// watchMargin is what a watch may wait at the store less than the time after which a
+	// host without contact counts as undisturbed again (the users' contactMs, 3 to 5 s).
+	// With the time allowed for the call itself, a dead connection is then noticed
+	// before. Each watch is a call, so a longer wait is cheaper.
+	watchMargin = time.Second
+	// minWatchTimeout is the least time that a watch waits.
+	minWatchTimeout = 2 * time.Second
+	// recoveryWatchTimeout replaces the watch's timeout after a failed call. During a longer
 	// watch, an unavailable store would look like a store without changes.
 	recoveryWatchTimeout = 50 * time.Millisecond
 	// minBackoff is the pause after a failed call. It doubles with each further
@@ -45,6 +48,7 @@
 	store      *platform.Store
 	log        logger
 	batchDelay time.Duration // pause after changes, so that the next ones arrive together
+	timeout    time.Duration // how long one watch may wait at the store for a change
 	// onList receives a full list and reports whether it was accepted. onChanges
 	// receives changes of single objects, up to a revision. The argument storeReturned
 	// is true if the store was unavailable before.
@@ -65,8 +69,8 @@
 	abortedCalls int                // number of calls of abortCall
 }
 
-func newWatcher(kind string, store *platform.Store, log logger, batchDelay time.Duration) *watcher {
-	return &watcher{kind: kind, store: store, log: log, batchDelay: batchDelay, onStopped: func() {}, onResponse: func(objects.Revision) {}, mustFollow: func() bool { return true }, cancelCall: func() {}}
+func newWatcher(kind string, g *Gateway, batchDelay time.Duration) *watcher {
+	return &watcher{kind: kind, store: g.store, log: g.log, batchDelay: batchDelay, timeout: watchTimeout(g.settings), onStopped: func() {}, onResponse: func(objects.Revision) {}, mustFollow: func() bool { return true }, cancelCall: func() {}}
 }
 
 // abortCall cancels the call in progress because its connection seems to be dead. The
@@ -149,7 +153,12 @@
 	if w.failures > 0 {
 		return recoveryWatchTimeout
 	}
-	return watchTimeout
+	return w.timeout
+}
+
+// watchTimeout returns how long one watch may wait at the store for a change.
+func watchTimeout(settings platform.Settings) time.Duration {
+	return max(minWatchTimeout, settings.RecoveryTime-watchMargin)
 }
 
 // backOff records a failed call and pauses before the next one.
@@ -189,7 +198,7 @@
 
 // watchConfig follows the configuration in the store until the context ends.
 func (g *Gateway) watchConfig(ctx context.Context) {
-	w := newWatcher(platform.KindDocument, g.store, g.log, configBatchDelay)
+	w := newWatcher(platform.KindDocument, g, configBatchDelay)
 	w.mustFollow = g.peers.mustFollowStore
 	w.onResponse = func(objects.Revision) { g.peers.recordStoreResponse(platform.KindDocument) }
 	w.onList = func(list []objects.Object, _ objects.Revision, _ bool) bool {
