Start: the first list of targets may be a stale read

A stale read costs a tenth of a call, and the followers tell what is new with the first exchanges. The configuration is not read stale: a key that was taken away must not come back at a restart.

--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -51,10 +51,17 @@
 	return (minFollowers + domains - 1) / domains
 }
 
+// Settling reports whether the daemon has started so lately that it may not know the
+// others, and is not one of those that others contact first. What it reads from the
+// store for its start may be stale: daemons that follow the store tell it what is new
+// within their first exchanges.
+func (k Knowledge) Settling() bool {
+	return k.SinceStart < settleTime && k.KnowsSeeds && !k.IsSeed
+}
+
 // MustFollow reports whether the daemon must follow the store itself.
 func (k Knowledge) MustFollow() bool {
-	settling := k.SinceStart < settleTime && k.KnowsSeeds && !k.IsSeed
-	if !settling && k.Preceding < Followers(k.Domains) {
+	if !k.Settling() && k.Preceding < Followers(k.Domains) {
 		return true
 	}
 	return k.DataAge > k.maxAge()
--- a/internal/coordination/storefollow/storefollow_test.go
+++ b/internal/coordination/storefollow/storefollow_test.go
@@ -42,6 +42,7 @@
 			k := settled
 			c.change(&k)
 			must.Eq(t, c.want, k.MustFollow())
+			must.Eq(t, c.name == "knows nobody yet but its seeds" || c.name == "has no data", k.Settling())
 		})
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -376,7 +376,14 @@
 }
 
 // mustFollowStore reports whether this daemon must follow the store itself.
-func (p *peers) mustFollowStore() bool {
+func (p *peers) mustFollowStore() bool { return p.storeKnowledge().MustFollow() }
+
+// mayReadStale reports whether this daemon may read a state of the store that is seconds
+// old.
+func (p *peers) mayReadStale() bool { return p.storeKnowledge().Settling() }
+
+// storeKnowledge returns what decides whether this daemon must follow the store.
+func (p *peers) storeKnowledge() storefollow.Knowledge {
 	now := time.Now()
 	age := p.storeAge(now)
 	p.mu.Lock()
@@ -392,7 +399,7 @@
 		DomainSize:   domainSize,
 		RoundSpacing: exchangeInterval,
 		ResponseGap:  watchTimeout(p.gateway.settings),
-	}.MustFollow()
+	}
 }
 
 // knownDaemons returns the number of daemons that this one knows, itself included.
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -39,6 +39,7 @@
 	list.watch.onChanges = list.applyFromStore
 	list.watch.onStopped = list.setNotFollowing
 	list.watch.mustFollow = g.peers.mustFollowStore
+	list.watch.staleOK = g.peers.mayReadStale
 	list.watch.onResponse = func(revision objects.Revision) {
 		list.confirmRevision(revision)
 		g.peers.recordStoreResponse(platform.KindTargets)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -61,8 +61,11 @@
 	onResponse func(revision objects.Revision)
 	// mustFollow reports whether this daemon must follow the store itself.
 	mustFollow func() bool
+	// staleOK reports whether the first list may be stale.
+	staleOK func() bool
 
-	failures int // consecutive failed calls
+	failures int  // consecutive failed calls
+	listed   bool // a list has been accepted
 
 	mu           sync.Mutex
 	cancelCall   context.CancelFunc // cancels the call in progress
@@ -70,7 +73,7 @@
 }
 
 func newWatcher(kind string, g *Gateway, batchDelay time.Duration) *watcher {
-	return &watcher{kind: kind, store: g.store, log: g.log, batchDelay: batchDelay, timeout: watchTimeout(g.settings), onStopped: func() {}, onResponse: func(objects.Revision) {}, mustFollow: func() bool { return true }, cancelCall: func() {}}
+	return &watcher{kind: kind, store: g.store, log: g.log, batchDelay: batchDelay, timeout: watchTimeout(g.settings), onStopped: func() {}, onResponse: func(objects.Revision) {}, mustFollow: func() bool { return true }, staleOK: func() bool { return false }, cancelCall: func() {}}
 }
 
 // abortCall cancels the call in progress because its connection seems to be dead. The
@@ -108,7 +111,7 @@
 			sleep(ctx, followCheckInterval)
 			continue
 		}
-		list, revision, err := w.store.List(w.newCall(ctx), w.kind)
+		list, revision, err := w.store.List(w.newCall(ctx), w.kind, !w.listed && w.staleOK())
 		if err != nil {
 			w.backOff(ctx, err)
 			continue
@@ -117,6 +120,7 @@
 			sleep(ctx, minBackoff)
 			continue
 		}
+		w.listed = true
 		w.onResponse(revision)
 		w.watchChanges(ctx, revision)
 	}
