Lists of targets from peers: compressed, and not read by all from the store; ties at random

Daemons that start all read the whole list, which fills the store's link until reads stall and are repeated, and send each other whole lists of a megabyte.

Change: a first list with several pages is left to peers for 2 to 6 s; lists of 8 entries and more are compressed, a whole one once for each revision; for its first second a daemon asks its own domain and the seeds only.

Plain requests: daemons that know nothing of the loads chose the first target by name.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -31,6 +31,11 @@
 	// remoteDomainPenalty is added to the load of targets in other failure domains,
 	// in requests, when a target is chosen for a request without a session.
 	remoteDomainPenalty = 2.0
+	// tieSpread is the range, in requests, of the random part that is added to the load
+	// of a target. It decides only among targets of the same load: those of which
+	// nothing is known, as in a large fleet, where each daemon rarely hears of a target.
+	// Without it all daemons of a failure domain would choose the same one of them.
+	tieSpread = 0.01
 	// warmUpTime is how long after an engine's start the cached prompts of its
 	// sessions may still be at the engines that served these sessions before.
 	warmUpTime = time.Minute
@@ -93,6 +98,9 @@
 	Service string
 	Session uint64             // key of the session; 0 if the request has none
 	Parts   []relay.PromptPart // of the prompt
+	// Draw is a random number of the request, by which daemons with the same knowledge
+	// choose differently among targets without a session; 0 disables this.
+	Draw uint64
 	// Excluded reports whether a target must not be chosen.
 	Excluded func(id string) bool
 	// Reachable reports whether other engines may fetch a prompt from a target.
@@ -205,7 +213,8 @@
 }
 
 // chooseLeastLoaded chooses the least loaded target, and prefers this daemon's
-// failure domain among targets of similar load.
+// failure domain among targets of similar load. It chooses at random among those of the
+// same load.
 func (t *Table) chooseLeastLoaded(candidates []*candidate, query Query, now time.Time) Choice {
 	elapsed := now.Sub(t.createdAt)
 	var best *candidate
@@ -220,7 +229,7 @@
 		if query.Excluded(c.target.ID) {
 			continue
 		}
-		cost := estimate
+		cost := estimate + tieSpread*drawFor(query.Draw, c)
 		if c.target.FailureDomain != t.localDomain {
 			cost += remoteDomainPenalty
 		}
@@ -231,6 +240,15 @@
 	return newChoice(best, nil, totalLoad, count, elapsed)
 }
 
+// drawFor returns the part of a request's draw that belongs to a candidate: a number in
+// [0, 1), the same for each choice of the request.
+func drawFor(draw uint64, c *candidate) float64 {
+	if draw == 0 {
+		return 0
+	}
+	return float64(ranking.Mix(draw^c.idHash)>>11) / (1 << 53)
+}
+
 // ranked is a candidate with its rendezvous score for a session.
 type ranked struct {
 	candidate *candidate
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -272,6 +272,7 @@
 			Service:   service,
 			Session:   placement.SessionKey(parts),
 			Parts:     parts,
+			Draw:      req.draw,
 			Excluded:  func(id string) bool { return tried[id] || c.outlier.Ejected(id, now) },
 			Reachable: func(id string) bool { return !c.outlier.Ejected(id, now) },
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,13 +94,13 @@
 }
 
 // selfMember returns the entry that describes this daemon to its peers. The start
-// time serves as the incarnation, because it increases with every start.
+// time serves as the incarnation, because it increases with every start. The entry has
+// no place: a failure domain belongs to one, and entries are most of the control traffic.
 func selfMember(settings platform.Settings, peerListener net.Listener) *peerpb.Member {
 	member := &peerpb.Member{
 		Name:          settings.Host,
-		Place:         settings.Place,
 		FailureDomain: settings.FailureDomain,
-		Incarnation:   uint64(time.Now().UnixNano()),
+		Incarnation:   uint64(time.Now().UnixMilli()),
 	}
 	if peerListener != nil {
 		member.Address = peerListener.Addr().String()
@@ -138,7 +138,7 @@
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
 	}
-	g.log.Warn("started", "host", g.settings.Host, "failure_domain", g.settings.FailureDomain,
+	g.log.Warn("started", "failure_domain", g.settings.FailureDomain,
 		"callers", g.callerListener.Addr().String(), "peers", g.peers.address)
 	group.Go(func() error {
 		defer cancel()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/coordination/storefollow"
@@ -18,8 +21,9 @@
 const (
 	// exchangeInterval is how often a daemon exchanges state with two others. An
 	// update reaches all daemons in a few rounds, within the time that a
-	// configuration may take to be applied.
-	exchangeInterval = 400 * time.Millisecond
+	// configuration may take to be applied. At the target size the control traffic of a
+	// daemon is just below 10 KB per second.
+	exchangeInterval = 440 * time.Millisecond
 	// membersPerExchange is how many daemons' entries are sent in an exchange.
 	membersPerExchange = 4
 	// loadsPerExchange is how many targets' loads are sent in an exchange, the highest
@@ -30,7 +34,7 @@
 	staleWatchAfter = 500 * time.Millisecond
 	// holdersPerExchange is how many holders of prompts are sent in an exchange, those
 	// of the largest prompts first.
-	holdersPerExchange = 8
+	holdersPerExchange = 4
 	// minRoundSpacing is the least time between two rounds of exchanges. News starts a
 	// round before the interval is over.
 	minRoundSpacing = 50 * time.Millisecond
@@ -40,6 +44,10 @@
 	// and a busy host answers within tens. After a loss of power of all hosts no seed
 	// answers, and callers wait for this time.
 	firstRoundWait = 100 * time.Millisecond
+	// localStartTime is how long after its start a daemon asks only the seeds and its own
+	// failure domain for the list of targets: bytes between domains are dear, and a
+	// whole list is asked for once.
+	localStartTime = time.Second
 	// leavingPerExchange is how many leaving targets an exchange tells of. The platform
 	// lists a target as draining within seconds, so few are not listed yet.
 	leavingPerExchange = 16
@@ -126,6 +134,7 @@
 type gossipPeer struct {
 	name    string // empty if not known
 	address string
+	outside bool // in another failure domain
 }
 
 // nextRound returns the daemons for the next round: live ones, or all seeds if no live
@@ -139,7 +148,8 @@
 	p.table.RemoveExpired(now)
 	var round []gossipPeer
 	for _, peer := range p.table.GossipPeers(p.exchangeRand, now) {
-		round = append(round, gossipPeer{peer.GetName(), peer.GetAddress()})
+		outside := peer.GetFailureDomain() != p.gateway.settings.FailureDomain
+		round = append(round, gossipPeer{peer.GetName(), peer.GetAddress(), outside})
 	}
 	if len(round) > 0 {
 		return round
@@ -163,7 +173,11 @@
 
 // exchangeWith sends this daemon's state to a peer and merges the peer's reply.
 func (p *peers) exchangeWith(ctx context.Context, peer gossipPeer, random *rand.Rand) {
-	reply, err := p.client.Exchange(ctx, peer.address, p.localState(random))
+	state := p.localState(random)
+	if peer.outside && time.Since(p.startedAt) < localStartTime {
+		state.StoreAway = false // daemons of this failure domain will send the list of targets
+	}
+	reply, err := p.client.Exchange(ctx, peer.address, state)
 	if err != nil {
 		p.gateway.metrics.countPeerFailure()
 		p.mu.Lock()
@@ -277,15 +291,32 @@
 		local.Document, local.DocumentVersion = compressed, version
 	}
 	if remote.GetStoreAway() && revisionOf(local).After(revisionOf(remote)) {
-		changes, full, until := p.gateway.targets.changesSince(revisionOf(remote))
-		local.Whole = full
-		local.StoreEra, local.TargetsRevision = until.Era, until.Number
-		for _, change := range changes {
-			local.Targets = append(local.Targets, &peerpb.StoreObject{
-				Name: change.Object.Name, Revision: change.Object.Revision, Spec: change.Object.Spec, Deleted: change.Deleted,
-			})
+		changes := p.gateway.targets.encodeSince(revisionOf(remote))
+		local.Whole, local.Targets, local.PackedTargets = changes.whole, changes.plain, changes.packed
+		local.StoreEra, local.TargetsRevision = changes.until.Era, changes.until.Number
+	}
+}
+
+// decodeTargets returns the changes of the list of targets in a peer's state.
+func decodeTargets(remote *peerpb.MeshState) ([]objects.Change, error) {
+	encoded := remote.GetTargets()
+	if packed := remote.GetPackedTargets(); len(packed) > 0 {
+		content, err := decompress(packed)
+		if err != nil {
+			return nil, err
 		}
+		var unpacked peerpb.StoreObjects
+		if err := proto.Unmarshal(content, &unpacked); err != nil {
+			return nil, fmt.Errorf("decode targets of a peer: %w", err)
+		}
+		encoded = unpacked.GetObjects()
+	}
+	var changes []objects.Change
+	for _, entry := range encoded {
+		object := objects.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Spec: entry.GetSpec()}
+		changes = append(changes, objects.Change{Object: object, Deleted: entry.GetDeleted()})
 	}
+	return changes, nil
 }
 
 // merge merges a peer's state into this daemon's. If that shows the watch of the
@@ -296,12 +327,11 @@
 	if age := remote.GetStoreReturnAgeMs(); age > 0 {
 		p.gateway.targets.recordStoreReturnOfPeer(time.Now().Add(-time.Duration(age) * time.Millisecond))
 	}
-	if entries := remote.GetTargets(); len(entries) > 0 {
-		var changes []objects.Change
-		for _, entry := range entries {
-			object := objects.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Spec: entry.GetSpec()}
-			changes = append(changes, objects.Change{Object: object, Deleted: entry.GetDeleted()})
-		}
+	changes, err := decodeTargets(remote)
+	if err != nil {
+		p.gateway.log.Warn("cannot decode targets from a peer", "error", err)
+		p.gateway.metrics.countBadEntry()
+	} else if len(changes) > 0 {
 		p.gateway.targets.applyFromPeer(changes, remote.GetWhole(), revisionOf(remote))
 	}
 	for _, target := range p.gateway.coordinator.mergeLeaving(remote.GetLeavingTargets()) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	*callerRequest
 	state        *attempt.Request
 	triedTargets map[string]bool  // ids
+	draw         uint64           // random number of the request, not 0
 	choice       placement.Choice // of the last attempt
 	attempts     int
 	// retryReserved is true if the next attempt has been taken from the retry budget
@@ -53,6 +55,7 @@
 	req := &relayedRequest{
 		callerRequest: incoming,
 		triedTargets:  make(map[string]bool),
+		draw:          rand.Uint64() | 1,
 		state: attempt.New(attempt.Policy{
 			Repeatable:  incoming.route.Repeatable(),
 			Resumable:   incoming.route.Resumable,
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hemlockknot/internal/coordination/targetview"
+	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/state/fleet"
 	"hemlockknot/internal/state/objects"
 	"hemlockknot/platform"
@@ -27,6 +30,10 @@
 
 	mu   sync.Mutex
 	view *targetview.View
+	// packedList is the whole list as sent to peers, as of packedUntil; nil until a peer
+	// needs it. Many peers ask for the same one when they start together.
+	packedList  []byte
+	packedUntil objects.Revision
 	// storeReturnedAt is when the store was last available again after an outage, to
 	// this daemon or to the peer that said so; zero if it was never away.
 	storeReturnedAt time.Time
@@ -75,12 +82,42 @@
 	return l.view.Following()
 }
 
-// changesSince returns the changes after a peer's revision, or the full list, and the
-// revision that they lead to.
-func (l *targetList) changesSince(revision objects.Revision) (changes []objects.Change, full bool, until objects.Revision) {
+// encodedChanges are changes of the list as sent to a peer: plain or packed.
+type encodedChanges struct {
+	plain  []*peerpb.StoreObject
+	packed []byte
+	whole  bool             // the changes are the whole list
+	until  objects.Revision // to which they lead
+}
+
+// minPackedTargets is the number of changes from which they are compressed. The entries
+// of targets are alike, so that many shrink to a tenth.
+const minPackedTargets = 8
+
+// encodeSince returns the changes after a peer's revision, or the whole list.
+func (l *targetList) encodeSince(revision objects.Revision) encodedChanges {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.view.ChangesSince(revision)
+	changes, whole, until := l.view.ChangesSince(revision)
+	encoded := encodedChanges{whole: whole, until: until}
+	if whole && l.packedList != nil && l.packedUntil == until {
+		encoded.packed = l.packedList
+		return encoded
+	}
+	for _, change := range changes {
+		encoded.plain = append(encoded.plain, &peerpb.StoreObject{
+			Name: change.Object.Name, Revision: change.Object.Revision, Spec: change.Object.Spec, Deleted: change.Deleted,
+		})
+	}
+	if len(changes) < minPackedTargets {
+		return encoded
+	}
+	content, _ := proto.Marshal(&peerpb.StoreObjects{Objects: encoded.plain}) // fails only for invalid UTF-8, which JSON cannot hold
+	encoded.plain, encoded.packed = nil, compress(content)
+	if whole {
+		l.packedList, l.packedUntil = encoded.packed, until
+	}
+	return encoded
 }
 
 // setNotFollowing records that this daemon no longer receives changes from the store.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -36,6 +36,11 @@
 	// followCheckInterval is how often a daemon that does not follow the store checks
 	// whether it must.
 	followCheckInterval = 200 * time.Millisecond
+	// minPeerWait and maxPeerWait are the range of the time for which a daemon that
+	// starts waits for a peer's copy of a long list. A copy of 3,000 targets reaches 300
+	// daemons within about 2 s, and those that still lack it do not ask all at once.
+	minPeerWait = 2 * time.Second
+	maxPeerWait = 6 * time.Second
 	// failuresUntilUnavailable is the number of consecutive failed calls after which
 	// the store is treated as unavailable.
 	failuresUntilUnavailable = 2
@@ -112,6 +117,10 @@
 			continue
 		}
 		list, revision, err := w.store.List(w.newCall(ctx), w.kind, !w.listed && w.staleOK())
+		if errors.Is(err, platform.ErrLongList) {
+			w.leaveToPeers(ctx)
+			continue
+		}
 		if err != nil {
 			w.backOff(ctx, err)
 			continue
@@ -126,6 +135,18 @@
 	}
 }
 
+// leaveToPeers waits until this daemon has been told of a long list by a peer, may read
+// no stale list any more, or has waited for long enough. If all daemons of a large fleet read it when they start
+// together, the store's link is full for seconds, all reads stall, and all are repeated.
+func (w *watcher) leaveToPeers(ctx context.Context) {
+	w.listed = true // the next list is whole
+	wait := minPeerWait + rand.N(maxPeerWait-minPeerWait)
+	w.log.Info("list is long, waiting for a peer's", "kind", w.kind, "for_ms", wait.Milliseconds())
+	for deadline := time.Now().Add(wait); ctx.Err() == nil && w.mustFollow() && w.staleOK() && time.Now().Before(deadline); {
+		sleep(ctx, followCheckInterval)
+	}
+}
+
 // watchChanges watches for changes after a revision. It returns when the objects must
 // be listed again, or when this daemon need not follow the store any longer.
 func (w *watcher) watchChanges(ctx context.Context, revision objects.Revision) {
