--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -102,6 +102,7 @@
 	settings.FailureDomain = "north"
 	settings.PlaceByFailureDomain = map[string]string{"north": "coast", "south": "coast", "west": "coast"}
 	settings.MaxMemoryBytes = 184 << 20 // the users' smallest host
+	settings.LinkBytesPerS = 20e6 / 8
 	settings.HeartbeatInterval = 1200 * time.Millisecond
 	settings.CallerListenAddress, settings.ReadyListenAddress, settings.PeerListenAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	settings.StopGrace = f.grace
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"hemlockknot/internal/coordination/member"
@@ -48,6 +49,13 @@
 	// failure domain for the list of targets: bytes between domains are dear, and a
 	// whole list is asked for once.
 	localStartTime = time.Second
+	// listLinkShare is the part of the host's link that lists of targets for peers may
+	// use. When all daemons of a large fleet start together, all ask the seeds; if a
+	// seed answered all at once, no answer would be complete before its call's timeout.
+	listLinkShare = 0.25
+	// listBurst is how many bytes of lists may be sent at once. A larger list counts as
+	// this many.
+	listBurst = 256 << 10
 	// leavingPerExchange is how many leaving targets an exchange tells of. The platform
 	// lists a target as draining within seconds, so few are not listed yet.
 	leavingPerExchange = 16
@@ -66,6 +74,7 @@
 	news         chan struct{} // signals that peers should hear of something at once
 	firstRound   chan struct{} // closed after the first round of exchanges
 	startedAt    time.Time
+	listBytes    *rate.Limiter // of packed lists of targets sent to peers
 
 	mu          sync.Mutex
 	seeds       []string // without this daemon's own address
@@ -88,6 +97,7 @@
 		news:              make(chan struct{}, 1),
 		firstRound:        make(chan struct{}),
 		startedAt:         time.Now(),
+		listBytes:         rate.NewLimiter(rate.Limit(listLinkShare*g.settings.LinkBytesPerS), listBurst),
 		table:             member.New(self),
 		lastStoreResponse: make(map[string]time.Time),
 	}
@@ -292,6 +302,9 @@
 	}
 	if remote.GetStoreAway() && revisionOf(local).After(revisionOf(remote)) {
 		changes := p.gateway.targets.encodeSince(revisionOf(remote))
+		if !p.listBytes.AllowN(time.Now(), min(len(changes.packed), p.listBytes.Burst())) {
+			return // another daemon, or the next exchange, will bring the changes
+		}
 		local.Whole, local.Targets, local.PackedTargets = changes.whole, changes.plain, changes.packed
 		local.StoreEra, local.TargetsRevision = changes.until.Era, changes.until.Number
 	}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"hemlockknot/internal/coordination/storefollow"
@@ -65,6 +66,27 @@
 	second.eventually(func() bool { return second.rosterSize() == 4 })
 }
 
+// All daemons of a large fleet may ask one for the whole list at once. It must answer as
+// many as its link can carry, and the others without the list.
+func TestWholeListsAreLimitedByTheLink(t *testing.T) {
+	f, _, desks := newFixture(t)
+	for i := range minPackedTargets {
+		f.store.Put(platform.KindTargets, fmt.Sprint("extra-", i), desks[0].Spec("desk", "north", "draining"))
+	}
+	f.eventually(func() bool { return f.rosterSize() == 4+minPackedTargets })
+	size := len(f.daemon.targets.encodeSince(objects.Revision{}).packed)
+	f.daemon.peers.listBytes = rate.NewLimiter(0, 2*size)
+	withList := 0
+	for range 10 {
+		reply := f.daemon.peers.localState(rand.New(rand.NewPCG(1, 1)))
+		f.daemon.peers.addMissing(reply, &peerpb.MeshState{StoreAway: true})
+		if len(reply.GetPackedTargets()) > 0 {
+			withList++
+		}
+	}
+	must.Eq(t, 2, withList)
+}
+
 func TestInvalidTargetsOfAPeerAreRejected(t *testing.T) {
 	for _, packed := range [][]byte{{1, 2, 3}, compress([]byte("not a message"))} {
 		_, err := decodeTargets(&peerpb.MeshState{PackedTargets: packed})
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -20,8 +20,9 @@
 
 // Timeouts of calls, and limits of the connection pool.
 const (
-	dialTimeout    = 200 * time.Millisecond
-	callTimeout    = 500 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
+	// callTimeout allows for a list of some hundred kilobytes on a host's link.
+	callTimeout    = 800 * time.Millisecond
 	idleTimeout    = 10 * time.Second
 	maxIdlePerPeer = 1
 )
