Planned stop: no wait for partial requests, and the exit does not wait for calls

Log of one: no request in flight for seconds, 'grace period ended', and no exit in the 0.4 s that were left: a caller behind a cut had sent a part of its request, and background work had not ended.

Change: once the listener is closed and no request has been in flight for a second, the remaining connections are closed (a request that is completed meanwhile is still served); Run returns 0.2 s after the stop at the latest. What held up the exit is not known.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -108,11 +108,46 @@
 }
 
 // shutdown closes the listener and the idle connections and waits for the requests
-// in flight. If the context ends first, shutdown closes their connections too.
+// in flight. If the context ends first, or once no request has been in flight for
+// partialRequestWait, shutdown closes the remaining connections too.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	defer close(s.done)
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Join(err, s.server.Close())
+	for {
+		waitCtx, cancel := context.WithCancelCause(ctx)
+		go s.watchInFlight(waitCtx, cancel)
+		err := s.server.Shutdown(waitCtx)
+		cancel(nil)
+		onlyPartial := errors.Is(context.Cause(waitCtx), errOnlyPartialRequests)
+		switch {
+		case err == nil:
+			return nil
+		case !onlyPartial:
+			return errors.Join(err, s.server.Close())
+		case s.inFlight.Load() == 0: // else one of them has been completed meanwhile
+			return s.server.Close()
+		}
+	}
+}
+
+// partialRequestWait is how long a stop waits for callers that have sent a part of a
+// request, after the last complete one has been answered. Such a caller may be cut off.
+const partialRequestWait = time.Second
+
+var errOnlyPartialRequests = errors.New("no request is in flight")
+
+// watchInFlight cancels the context once no request has been in flight for
+// partialRequestWait.
+func (s *callerServer) watchInFlight(ctx context.Context, cancel context.CancelCauseFunc) {
+	const checkInterval = 50 * time.Millisecond
+	lastInFlight := time.Now()
+	for ctx.Err() == nil {
+		if s.inFlight.Load() > 0 {
+			lastInFlight = time.Now()
+		}
+		if time.Since(lastInFlight) >= partialRequestWait {
+			cancel(errOnlyPartialRequests)
+			return
+		}
+		sleep(ctx, checkInterval)
 	}
-	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,9 @@
 	}
 	g.log.Warn("started", "failure_domain", g.settings.FailureDomain,
 		"callers", g.callerListener.Addr().String(), "peers", g.peers.address)
+	stopped := make(chan struct{})
 	group.Go(func() error {
+		defer close(stopped)
 		defer cancel()
 		select {
 		case <-ctx.Done():
@@ -149,7 +151,30 @@
 		}
 		return nil
 	})
-	return group.Wait()
+	return g.waitForEnd(group, stopped)
+}
+
+// exitWait is how long after a stop the daemon waits for its background work to end. It
+// is less than stopMargin: a call to a peer that is cut off must not hold up the exit
+// until the platform kills the process.
+const exitWait = 200 * time.Millisecond
+
+// waitForEnd waits until the group has ended, but no longer than exitWait after the stop.
+func (g *Gateway) waitForEnd(group *errgroup.Group, stopped <-chan struct{}) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-stopped:
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(exitWait):
+		g.log.Warn("background work has not ended, exiting")
+		return nil
+	}
 }
 
 func listen(purpose, address string) (net.Listener, error) {
--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -144,6 +146,23 @@
 	f.stopped <- nil
 }
 
+// A caller that is cut off in the middle of its request must not hold up a planned stop
+// until the end of the grace.
+func TestPartialRequestDoesNotHoldUpAStop(t *testing.T) {
+	f, _, _ := newFixture(t)
+	f.daemon.stopGrace.Store(int64(8 * time.Second)) // the users' graceS
+	conn, err := net.Dial("tcp", f.daemon.callerListener.Addr().String())
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /reads/1 HTTP/1.1\r\nHost: ")
+	must.NoError(t, err)
+	started := time.Now()
+	f.stop()
+	must.NoError(t, <-f.stopped)
+	f.stopped <- nil
+	must.Less(t, drainDelay+2*partialRequestWait, time.Since(started))
+}
+
 func TestRestartedDaemonGetsItsStateFromTheStore(t *testing.T) {
 	f, _, _ := newFixture(t)
 	f.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(7, "new-key"))
