--- a/internal/coordination/member/gossip.go
+++ b/internal/coordination/member/gossip.go
@@ -112,10 +112,10 @@
 	// failure domain. It is longer than the heartbeat timeout, so that short
 	// differences between the daemons' views do not change the order.
 	minRankTimeout = 3 * HeartbeatTimeout
-	// rankTimeoutPerMember is added for each known member: exchanges carry a few
-	// entries at a time, so the more members there are, the later each is heard of.
-	// With 4 entries in each of 20 messages a second, the mean time until a member is
-	// heard of again is 1/80 s for each member; 8 times that is exceeded once in 3,000.
+	// rankTimeoutPerMember is the timeout for each known member in a large fleet. A
+	// daemon receives about 9 messages of 4 entries each second, so it hears of each of
+	// n members every n/36 s on average. The timeout is 3.6 times that; the first
+	// members of a failure domain, on which the order depends, are heard of more often.
 	rankTimeoutPerMember = 100 * time.Millisecond
 )
 
