--- a/internal/coordination/targetview/targetview_test.go
+++ b/internal/coordination/targetview/targetview_test.go
@@ -54,7 +54,7 @@
 
 // A restore of the store gives its revisions out again. What a daemon learns then must
 // be ordered by era first, from whomever it learns it.
-func TestEratTheStore(t *testing.T) {
+func TestRestoresAreOrdered(t *testing.T) {
 	old := []objects.Object{object("a", 50)} // a copy of the store from before b registered
 	cases := []struct {
 		name      string
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -140,6 +140,8 @@
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4,
+		// Without a limit of ours, net/http reads 10 MB for each header.
+		MaxResponseHeaderBytes: 64 << 10,
 	}
 	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: transport}, counter: counter}
 }
--- a/internal/transport/target/client.go
+++ b/internal/transport/target/client.go
@@ -43,6 +43,10 @@
 	singleUse *http.Client
 }
 
+// maxResponseHeaderBytes limits the header of an engine's response, of which the engines
+// of the users send less than 1 KB.
+const maxResponseHeaderBytes = 64 << 10
+
 // NewClient returns a client without open connections.
 func NewClient() *Client {
 	return &Client{
@@ -58,6 +62,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   singleUse,
 		DisableCompression:  true,
+		// Without a limit of ours, net/http reads 10 MB for each header.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return &http.Client{
 		Transport:     transport,
--- a/internal/transport/target/client_test.go
+++ b/internal/transport/target/client_test.go
@@ -229,3 +229,30 @@
 		})
 	}
 }
+
+// An engine in trouble may send a header without end. The call must fail long before
+// the limit of net/http, 10 MB.
+func TestHeaderWithoutEndFailsTheCall(t *testing.T) {
+	sent := make(chan int, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		total, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for block := []byte(strings.Repeat("X-Filler: x\r\n", 1000)); err == nil; {
+			var n int
+			n, err = conn.Write(block)
+			total += n
+		}
+		sent <- total
+	}()
+	_, refused := NewClient().Call(t.Context(), nonRepeatableCall(listener.Addr().String()))
+	must.NotNil(t, refused)
+	must.False(t, refused.DidNotRun())
+	must.Less(t, 9<<20, <-sent)
+}
--- a/internal/transport/target/probe.go
+++ b/internal/transport/target/probe.go
@@ -32,6 +32,8 @@
 		},
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return &Prober{client: &http.Client{Transport: transport, Timeout: ProbeTimeout}}
 }
