--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -136,8 +136,31 @@
 	}
 }
 
-// freeze suspends the process with SIGSTOP.
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+// freeze suspends the process and waits until all its threads stand still. The signal
+// takes effect on each thread when that is next scheduled, and until then the process
+// could go on serving.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	waitFor(p.t, convergenceTimeout, p.name+" stands still", p.isStopped)
+}
+
+// isStopped reports whether all threads of the process are suspended.
+func (p *process) isStopped() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		content, err := os.ReadFile(path)
+		// The state is the first field after the name, which is in parentheses.
+		_, state, found := strings.Cut(string(content), ") ")
+		if err != nil || !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // thaw resumes a frozen process.
 func (p *process) thaw() { p.signal(syscall.SIGCONT) }
