--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -40,6 +40,7 @@
 	service   string
 	version   int64 // of the configuration
 	body      []byte
+	digest    uint64             // of the content, see requestDigest
 	buffers   *bufferReservation // for body and the bodies of responses
 }
 
@@ -60,6 +61,7 @@
 	if !g.admit(req, table) || !g.readBody(req, table) {
 		return
 	}
+	req.digest = requestDigest(req)
 	g.coordinator.waitForTargets(r.Context(), startupWait)
 	g.coordinator.countRequest(req.service)
 	g.relay(req)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -271,7 +271,7 @@
 		}
 	}
 	if !callerLeft {
-		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", exchangeErr, "shared_parts", loggedParts(req.call.Parts))
+		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", exchangeErr, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
 	}
 	return attempt.NoAnswer
 }
@@ -286,7 +286,7 @@
 			g.checkForCrash(req.choice.Target, waitingPrompt{req.call.Parts, true})
 		}
 		g.recordOutcome(req, outlier.ConnectionLost, req.r.Context().Err() == nil && !errors.Is(err, errNoBufferSpace))
-		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", err, "shared_parts", loggedParts(req.call.Parts))
+		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", err, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
 		return attempt.NoAnswer
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
