--- a/internal/coordination/quarantine/held.go
+++ b/internal/coordination/quarantine/held.go
@@ -6,16 +6,18 @@
 	"time"
 )
 
-// hold is a part that is held back.
+// hold is a feature that is held back.
 type hold struct {
-	part    uint64
-	crashes int
-	lastAt  time.Time // of the last crash
+	feature   uint64
+	isRequest bool
+	ambiguous bool // another held request is accused by some of the same crashes
+	crashes   int
+	lastAt    time.Time // of the last crash
 }
 
-// suspect is a part with the crashes that accuse it.
+// suspect is a feature with the crashes that accuse it.
 type suspect struct {
-	part    uint64
+	feature uint64
 	depth   uint32
 	crashes []*crash
 }
@@ -25,114 +27,160 @@
 	sum := 0
 	for _, c := range s.crashes {
 		if counts(c) {
-			sum += c.weight(s.part)
+			sum += c.weight(s.feature)
 		}
 	}
 	return sum
 }
 
-// suspects returns the parts that are accused with holdWeight or more, the most specific
-// ones first.
+// suspects returns the features that are accused with holdWeight or more, whole requests
+// first, then the most specific parts.
 func (t *Tracker) suspects() []suspect {
-	byPart := make(map[uint64]*suspect)
+	byFeature := make(map[uint64]*suspect)
 	for _, c := range t.crashes {
-		for part, accused := range c.accused {
+		for feature, accused := range c.accused {
 			if accused.state == Cleared {
 				continue
 			}
-			s := byPart[part]
+			s := byFeature[feature]
 			if s == nil {
-				s = &suspect{part: part}
-				byPart[part] = s
+				s = &suspect{feature: feature}
+				byFeature[feature] = s
 			}
 			s.depth = max(s.depth, accused.depth)
 			s.crashes = append(s.crashes, c)
 		}
 	}
 	var suspects []suspect
-	for _, s := range byPart {
+	for _, s := range byFeature {
 		if s.weight(func(*crash) bool { return true }) >= holdWeight {
 			suspects = append(suspects, *s)
 		}
 	}
 	slices.SortFunc(suspects, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.feature, b.feature))
 	})
 	return suspects
 }
 
-// updateHeld determines which parts are held back and returns those that were not before.
-// A suspect is held back if the crashes that more specific held parts do not explain
-// suffice. One that the others make needless is let go again: a session whose requests
-// happened to be the first with a fatal part.
+// updateHeld determines what is held back and returns what was not before.
 func (t *Tracker) updateHeld(now time.Time) (newlyHeld []Hold) {
-	var chosen []suspect
-	for _, s := range t.suspects() {
-		if s.weight(func(c *crash) bool { return !explained(c, chosen) }) >= holdWeight {
-			chosen = append(chosen, s)
-		}
-	}
-	for i := 0; i < len(chosen); {
-		others := slices.Delete(slices.Clone(chosen), i, i+1)
-		if chosen[i].weight(func(c *crash) bool { return !explained(c, others) }) == 0 {
-			chosen = others
-			continue
-		}
-		i++
+	suspects := t.suspects()
+	firstPart := slices.IndexFunc(suspects, func(s suspect) bool { return s.depth < requestDepth })
+	if firstPart < 0 {
+		firstPart = len(suspects)
 	}
+	requests := likeliestRequests(suspects[:firstPart])
 	before := t.held
 	t.held = nil
-	for _, s := range chosen {
-		h := &hold{part: s.part, crashes: len(s.crashes)}
+	for _, s := range append(requests, likeliestParts(suspects[firstPart:], requests)...) {
+		h := &hold{feature: s.feature, isRequest: s.depth == requestDepth, crashes: len(s.crashes)}
+		h.ambiguous = h.isRequest && slices.ContainsFunc(requests, func(other suspect) bool {
+			return other.feature != s.feature && slices.ContainsFunc(s.crashes, other.accusedBy)
+		})
 		for _, c := range s.crashes {
 			if c.at.After(h.lastAt) {
 				h.lastAt = c.at
 			}
 		}
 		t.held = append(t.held, h)
-		if !slices.ContainsFunc(before, func(b *hold) bool { return b.part == h.part }) {
+		if !slices.ContainsFunc(before, func(b *hold) bool { return b.feature == h.feature }) {
 			newlyHeld = append(newlyHeld, t.describe(h, now))
 		}
 	}
 	return newlyHeld
 }
 
+// likeliestRequests returns the requests to hold back: those that enough crashes accuse,
+// without those that only happened to run beside another one, whose crashes are some of
+// the other's. Of requests with the same crashes any may be the fatal one.
+func likeliestRequests(suspects []suspect) []suspect {
+	var chosen []suspect
+	for _, s := range suspects {
+		if !slices.ContainsFunc(suspects, func(other suspect) bool {
+			return len(other.crashes) > len(s.crashes) && !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !other.accusedBy(c) })
+		}) {
+			chosen = append(chosen, s)
+		}
+	}
+	return chosen
+}
+
+// likeliestParts returns the parts to hold back: those that the crashes accuse enough that
+// more specific held parts do not explain. One that the others make needless is let go
+// again: a session whose requests happened to be the first with a fatal part. A part is no
+// suspect if one request explains its crashes. Several requests do not: it may be what
+// they have in common.
+func likeliestParts(suspects, heldRequests []suspect) []suspect {
+	var chosen []suspect
+	for _, s := range suspects {
+		if slices.ContainsFunc(heldRequests, func(request suspect) bool {
+			return s.weight(func(c *crash) bool { return !request.accusedBy(c) }) < strongWeight
+		}) {
+			continue
+		}
+		if s.weight(func(c *crash) bool { return !explained(c, chosen) }) >= holdWeight {
+			chosen = append(chosen, s)
+		}
+	}
+	for i := 0; i < len(chosen); {
+		others := slices.Delete(slices.Clone(chosen), i, i+1)
+		if chosen[i].weight(func(c *crash) bool { return !explained(c, others) }) == 0 {
+			chosen = others
+			continue
+		}
+		i++
+	}
+	return chosen
+}
+
+// accusedBy reports whether a crash accuses the suspect.
+func (s suspect) accusedBy(c *crash) bool { return c.weight(s.feature) > 0 }
+
 // explained reports whether a crash accuses any of the suspects.
 func explained(c *crash, by []suspect) bool {
-	return slices.ContainsFunc(by, func(s suspect) bool { return c.weight(s.part) > 0 })
+	return slices.ContainsFunc(by, func(s suspect) bool { return s.accusedBy(c) })
 }
 
-// releasedBy returns the parts that are held back before a change but not after it.
-func (t *Tracker) releasedBy(change func()) (released []uint64) {
+// releasedBy returns what is held back before a change but not after it.
+func (t *Tracker) releasedBy(now time.Time, change func()) (released []Hold) {
 	before := t.held
 	change()
 	for _, h := range before {
-		if t.holdOn(h.part) == nil {
-			released = append(released, h.part)
-			delete(t.triedAt, h.part)
+		if t.holdOn(h.feature) == nil {
+			released = append(released, t.describe(h, now))
+			delete(t.triedAt, h.feature)
 		}
 	}
 	return released
 }
 
-// trialDue returns when the next trial of a held part is due.
+// trialDue returns when the next trial of a held feature is due.
 func (t *Tracker) trialDue(h *hold) time.Time {
-	due := h.lastAt.Add(trialDelay << min(max(0, h.crashes-usualCrashes), maxDoublings))
-	tried := t.triedAt[h.part]
+	failedTrials := max(0, h.crashes-usualCrashes)
+	if h.isRequest && failedTrials >= maxRequestTrials {
+		return h.lastAt.Add(maxHoldTime)
+	}
+	delay := trialDelay
+	if h.ambiguous {
+		delay = ambiguousTrialDelay
+	}
+	due := h.lastAt.Add(delay << min(failedTrials, maxDoublings))
+	tried := t.triedAt[h.feature]
 	if next := tried.Add(trialSpacing); tried.After(h.lastAt) && next.After(due) {
 		return next
 	}
 	return due
 }
 
-// describe returns the hold on a part.
+// describe returns the hold on a feature.
 func (t *Tracker) describe(h *hold, now time.Time) Hold {
-	return Hold{Part: h.part, Crashes: h.crashes, For: max(0, t.trialDue(h).Sub(now))}
+	return Hold{Feature: h.feature, IsRequest: h.isRequest, Crashes: h.crashes, For: max(0, t.trialDue(h).Sub(now))}
 }
 
-// holdOn returns the hold on a part, or nil.
-func (t *Tracker) holdOn(part uint64) *hold {
-	if i := slices.IndexFunc(t.held, func(h *hold) bool { return h.part == part }); i >= 0 {
+// holdOn returns the hold on a feature, or nil.
+func (t *Tracker) holdOn(feature uint64) *hold {
+	if i := slices.IndexFunc(t.held, func(h *hold) bool { return h.feature == feature }); i >= 0 {
 		return t.held[i]
 	}
 	return nil
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,21 +1,26 @@
-// Package quarantine decides which parts of prompts are held back because engines crash
-// when they answer them. It is a state machine without I/O or clock.
+// Package quarantine decides which requests are held back because engines crash when they
+// run them. It is a state machine without I/O or clock.
 //
-// The load that it answers is a query of death: requests that share one part of their
-// prompts with each other, and all other parts with sound requests, crash every engine
-// that begins to answer them. Each daemon would send the next such request to the next
-// engine.
+// The load that it answers is a query of death, in two shapes. Requests that share one part
+// of their prompts with each other, and all other parts with sound requests, crash every
+// engine that begins to answer them. Or one request crashes every target that runs it, and
+// is repeated by its caller and by daemons. Each daemon would send the next such request to
+// the next target. What requests may have in common, a part or the whole content, is a
+// feature.
 //
-// A crash accuses all shared parts of the requests whose answers had not begun: strongly if
-// the engine had sent the answer's headers, and so was about to write it, weakly if the
-// request may only have waited there. An answer that begins clears the parts of its prompt
-// of all crashes before, since a part that crashes engines never gets that far. Daemons
-// tell each other of each crash with all that it accuses; an accusation only ever becomes
-// stronger or cleared, so that reports may come in any order and more than once.
+// A crash accuses all features of the requests that were running there. The parts of a
+// prompt are accused only if the answer had not begun: strongly if the engine had sent the
+// answer's headers, and so was about to write it, weakly if the request may only have
+// waited there. An answer that begins clears the parts of its prompt of all crashes before,
+// since a part that crashes engines never gets that far. A whole request may crash its
+// target at any time of its run, so it is accused strongly in any case, and only a complete
+// answer clears it. Daemons tell each other of each crash with all that it accuses; an
+// accusation only ever becomes stronger or cleared, so that reports may come in any order
+// and more than once.
 //
-// A part is held back once enough crashes accuse it that no more specific held part
-// explains. It is let go when an answer to it begins. As nothing with the part is sent any
-// more, one daemon sends a single request as a trial from time to time.
+// A feature is held back once enough crashes accuse it that no other held one explains. It
+// is let go when it is cleared. As nothing with the feature is sent any more, one daemon
+// sends a single request as a trial from time to time.
 package quarantine
 
 import (
@@ -28,6 +33,9 @@
 	"hemlockknot/internal/protocol/relay"
 )
 
+// NoTrial is the rank of a daemon that makes no trials.
+const NoTrial = 1 << 30
+
 // Thresholds and limits.
 const (
 	// A part is held back when the weights of the crashes that accuse it reach holdWeight.
@@ -47,13 +55,28 @@
 	// trial. It doubles with each crash beyond usualCrashes, up to maxDoublings times.
 	trialDelay   = time.Minute
 	maxDoublings = 5
+	// ambiguousTrialDelay takes the place of trialDelay for requests that the same crashes
+	// accuse: most of them are sound, and one trial that is answered shows it.
+	ambiguousTrialDelay = 5 * time.Second
+	// trialStagger is the time between the trials that two daemons may make: the outcome of
+	// the first one has reached the second by then.
+	trialStagger = 2 * time.Second
+	// maxRequestTrials is how many trials a request that is held back gets. The users allow
+	// three runs after the third crash; two daemons may make the same trial at once.
+	maxRequestTrials = 2
+	// maxHoldTime is how long after the last crash a feature is held back.
+	maxHoldTime = 24 * time.Hour
 	// trialSpacing is the least time between two trials of a part. An answer begins, or
 	// the engine crashes, long before.
 	trialSpacing = 10 * time.Second
-	// maxCrashes bounds the crashes that are kept, and maxPartsPerCrash the parts that one
-	// of them accuses. Callers choose the parts of prompts.
-	maxCrashes       = 64
-	maxPartsPerCrash = 64
+	// maxCrashes bounds the crashes that are kept, maxPartsPerCrash the parts that one of
+	// them accuses, and maxRequestsPerCrash the whole requests. Callers choose the parts of
+	// prompts. An engine of the users runs 64 requests at once.
+	maxCrashes          = 64
+	maxPartsPerCrash    = 64
+	maxRequestsPerCrash = 64
+	// requestDepth is the position of a whole request among the features: after all parts.
+	requestDepth = maxPartsPerCrash
 )
 
 // State is the state of an accusation. States only ever grow.
@@ -63,21 +86,38 @@
 const (
 	Weak    State = iota + 1 // the request may only have waited at the engine
 	Strong                   // the engine had sent the headers of its answer
-	Cleared                  // an answer to a prompt with the part has begun since
+	Cleared                  // a request with the feature has been answered since
 )
 
-// Hold says that a part is held back.
+// Request is what the tracker needs to know of a request.
+type Request struct {
+	Digest uint64 // of its content; 0: unknown
+	Prompt []relay.PromptPart
+}
+
+// Progress is how far an engine had got with an answer when it crashed.
+type Progress uint8
+
+// Stages of an answer.
+const (
+	NoAnswer    Progress = iota // nothing was sent; the request may only have waited
+	HeadersSent                 // the headers were sent and nothing else
+	AnswerBegun                 // a part of the answer was sent
+)
+
+// Hold says that a feature of requests is held back.
 type Hold struct {
-	Part    uint64        // hash of the part's id
-	PartID  string        // set by Check
-	Crashes int           // crashes that accuse the part
-	For     time.Duration // until the next trial
+	Feature   uint64        // hash of a part's id, or digest of a whole request
+	IsRequest bool          // a whole request is held back
+	PartID    string        // set by Check if a part is held back
+	Crashes   int           // crashes that accuse the feature
+	For       time.Duration // until the next trial
 }
 
-// Tracker tracks crashes and the parts that they accuse. It is not safe for concurrent use.
+// Tracker tracks crashes and the features that they accuse. It is not safe for concurrent use.
 type Tracker struct {
 	crashes   map[uint32]*crash // by the hash of the engine's incarnation
-	held      []*hold           // the most specific parts first
+	held      []*hold           // whole requests first, then the most specific parts
 	triedAt   map[uint64]time.Time
 	tellStart int // position among the crashes to be told in turn
 }
@@ -90,16 +130,21 @@
 	changedAt time.Time // when something was learnt that others should hear
 	told      int       // how often others were told since
 	// toldBefore is set once others were told of the crash: they must hear of changes.
-	toldBefore bool
-	accused    map[uint64]accusation
+	toldBefore   bool
+	accused      map[uint64]accusation // by feature
+	requestCount int                   // whole requests among the accused
+	requestsTold int                   // position among them from which others are told next
 }
 
-// accusation is what is known of a part that a crash accuses.
+// accusation is what is known of a feature that a crash accuses.
 type accusation struct {
 	depth uint32 // position in the prompt: fewer sound requests share a later part
 	state State
 }
 
+// isRequest reports whether a whole request is accused.
+func (a accusation) isRequest() bool { return a.depth == requestDepth }
+
 // New returns a tracker without crashes.
 func New() *Tracker {
 	return &Tracker{crashes: make(map[uint32]*crash), triedAt: make(map[uint64]time.Time)}
@@ -108,70 +153,121 @@
 // PartHash returns the hash by which daemons tell each other of a part.
 func PartHash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// RecordCrash records that an engine has crashed before it began its answer to a prompt,
-// strongly if it had sent the answer's headers. It returns the parts that are held back
-// from now on, and whether other daemons should hear of the crash at once, because it is
-// strong and not the only one that accuses a part.
-func (t *Tracker) RecordCrash(prompt []relay.PromptPart, engine uint32, strong bool, now time.Time) (newlyHeld []Hold, urgent bool) {
-	state := Weak
-	if strong {
-		state = Strong
-	}
+// RecordCrash records that an engine has crashed while it ran a request. It returns what is
+// held back from now on, and whether other daemons should hear of the crash at once, because
+// it accuses something strongly that another crash accuses as well.
+func (t *Tracker) RecordCrash(request Request, engine uint32, progress Progress, now time.Time) (newlyHeld []Hold, urgent bool) {
 	c := t.crashOf(engine, now, now)
-	for depth, shared := range sharedParts(prompt) {
-		part := PartHash(shared.ID)
-		if c.raise(part, accusation{uint32(depth), state}, now) && strong {
-			urgent = urgent || len(t.Accusers(part)) > 1
+	accuse := func(feature uint64, raised accusation) {
+		if c.raise(feature, raised, now) && raised.state == Strong {
+			urgent = urgent || len(t.Accusers(feature)) > 1
+		}
+	}
+	if request.Digest != 0 {
+		accuse(request.Digest, accusation{requestDepth, Strong})
+	}
+	if progress != AnswerBegun {
+		state := Weak
+		if progress == HeadersSent {
+			state = Strong
+		}
+		for depth, shared := range sharedParts(request.Prompt) {
+			accuse(PartHash(shared.ID), accusation{uint32(depth), state})
 		}
 	}
 	return t.updateHeld(now), urgent
 }
 
-// RecordAnswer records that an engine has begun its answer to a prompt. It returns the
-// parts that are no longer held back.
-func (t *Tracker) RecordAnswer(prompt []relay.PromptPart, now time.Time) (released []uint64) {
+// RecordAnswerBegun records that an engine has begun its answer to a request, which clears
+// the parts of the prompt. It returns what is no longer held back.
+func (t *Tracker) RecordAnswerBegun(request Request, now time.Time) (released []Hold) {
+	if len(t.crashes) == 0 {
+		return nil
+	}
+	var parts []uint64
+	for _, shared := range sharedParts(request.Prompt) {
+		parts = append(parts, PartHash(shared.ID))
+	}
+	return t.clear(parts, now)
+}
+
+// RecordAnswerComplete records that a target has answered a request completely, which
+// clears the request. It returns what is no longer held back.
+func (t *Tracker) RecordAnswerComplete(request Request, now time.Time) (released []Hold) {
 	if len(t.crashes) == 0 {
 		return nil
 	}
+	return t.clear([]uint64{request.Digest}, now)
+}
+
+// clear clears features of all crashes before. It returns what is no longer held back.
+func (t *Tracker) clear(features []uint64, now time.Time) (released []Hold) {
 	changed := false
-	for _, shared := range sharedParts(prompt) {
-		part := PartHash(shared.ID)
+	for _, feature := range features {
 		for _, c := range t.crashes {
-			if accused, found := c.accused[part]; found {
-				changed = c.raise(part, accusation{accused.depth, Cleared}, now) || changed
+			if accused, found := c.accused[feature]; found {
+				changed = c.raise(feature, accusation{accused.depth, Cleared}, now) || changed
 			}
 		}
 	}
 	if !changed {
 		return nil
 	}
-	return t.releasedBy(func() { t.updateHeld(now) })
+	return t.releasedBy(now, func() { t.updateHeld(now) })
 }
 
-// Check returns the hold on a prompt, nil if it may be sent. If a trial of the part that is
-// held back is due and mayTry allows it, Check permits this request as the trial.
-func (t *Tracker) Check(prompt []relay.PromptPart, mayTry func(part uint64) bool, now time.Time) *Hold {
+// Check returns the hold on a request, nil if it may be sent. If a trial of what is held
+// back is due, Check permits this request as the trial: to the daemon that ranks first for
+// the feature at once, to each of the others trialStagger after the one before it, since a
+// rare request may not come to the first one. Rank returns the rank of this daemon, from 0.
+func (t *Tracker) Check(request Request, rank func(feature uint64) int, now time.Time) *Hold {
 	if len(t.held) == 0 {
 		return nil
 	}
 	var due []uint64
-	for _, shared := range sharedParts(prompt) {
-		h := t.holdOn(PartHash(shared.ID))
+	check := func(feature uint64, partID string) *Hold {
+		h := t.holdOn(feature)
 		if h == nil {
-			continue
+			return nil
 		}
-		if wait := t.trialDue(h).Sub(now); wait > 0 || !mayTry(h.part) {
-			return &Hold{h.part, shared.ID, h.crashes, max(wait, trialSpacing)}
+		wait := t.trialDue(h).Sub(now)
+		if wait > 0 || wait+time.Duration(rank(feature))*trialStagger > 0 {
+			return &Hold{feature, h.isRequest, partID, h.crashes, max(wait, trialSpacing)}
 		}
-		due = append(due, h.part)
+		due = append(due, feature)
+		return nil
 	}
-	for _, part := range due {
-		t.triedAt[part] = now
+	if hold := check(request.Digest, ""); hold != nil {
+		return hold
+	}
+	for _, shared := range sharedParts(request.Prompt) {
+		if hold := check(PartHash(shared.ID), shared.ID); hold != nil {
+			return hold
+		}
+	}
+	for _, feature := range due {
+		t.triedAt[feature] = now
 	}
 	return nil
 }
 
-// Held returns the parts that are held back.
+// CheckRetry returns a hold on a request whose target may just have crashed under it, if
+// the crash of another engine accuses the request already: one more retry could be the
+// third crash.
+func (t *Tracker) CheckRetry(request Request, lastEngine uint32) *Hold {
+	accusers := 0
+	for engine, c := range t.crashes {
+		if engine != lastEngine && c.weight(request.Digest) > 0 {
+			accusers++
+		}
+	}
+	if accusers == 0 {
+		return nil
+	}
+	return &Hold{Feature: request.Digest, IsRequest: true, Crashes: accusers, For: trialSpacing}
+}
+
+// Held returns what is held back.
 func (t *Tracker) Held(now time.Time) []Hold {
 	var holds []Hold
 	for _, h := range t.held {
@@ -180,11 +276,11 @@
 	return holds
 }
 
-// Accusers returns the hashes of the engines whose crashes accuse a part, sorted.
-func (t *Tracker) Accusers(part uint64) []uint32 {
+// Accusers returns the hashes of the engines whose crashes accuse a feature, sorted.
+func (t *Tracker) Accusers(feature uint64) []uint32 {
 	var engines []uint32
 	for engine, c := range t.crashes {
-		if c.weight(part) > 0 {
+		if c.weight(feature) > 0 {
 			engines = append(engines, engine)
 		}
 	}
@@ -192,11 +288,11 @@
 	return engines
 }
 
-// Expire drops old crashes that accuse no held part.
+// Expire drops old crashes that accuse nothing that is held back.
 func (t *Tracker) Expire(now time.Time) {
 	dropped := false
 	for engine, c := range t.crashes {
-		if now.Sub(c.learntAt) > crashLifetime && !t.accusesHeld(c) {
+		if now.Sub(c.learntAt) > crashLifetime && !t.accusesHeld(c) || now.Sub(c.at) > maxHoldTime {
 			delete(t.crashes, engine)
 			dropped = true
 		}
@@ -228,7 +324,7 @@
 	return c
 }
 
-// evict drops the oldest crash, one that accuses no held part if there is any.
+// evict drops the oldest crash, one that accuses nothing that is held back if there is any.
 func (t *Tracker) evict() {
 	var oldest *crash
 	for _, c := range t.crashes {
@@ -251,20 +347,31 @@
 }
 
 // raise raises the state of an accusation and reports whether it was lower. It ignores
-// parts beyond maxPartsPerCrash.
-func (c *crash) raise(part uint64, raised accusation, now time.Time) bool {
-	known, found := c.accused[part]
-	if known.state >= raised.state || !found && len(c.accused) >= maxPartsPerCrash {
+// parts beyond maxPartsPerCrash and whole requests beyond maxRequestsPerCrash.
+func (c *crash) raise(feature uint64, raised accusation, now time.Time) bool {
+	known, found := c.accused[feature]
+	if known.state >= raised.state || !found && c.isFull(raised) {
 		return false
 	}
-	c.accused[part] = accusation{max(known.depth, raised.depth), raised.state}
+	if !found && raised.isRequest() {
+		c.requestCount++
+	}
+	c.accused[feature] = accusation{max(known.depth, raised.depth), raised.state}
 	c.changedAt, c.told = now, 0
 	return true
 }
 
-// weight returns the weight with which the crash accuses a part.
-func (c *crash) weight(part uint64) int {
-	switch c.accused[part].state {
+// isFull reports whether the crash accuses as many features of a kind as it may.
+func (c *crash) isFull(raised accusation) bool {
+	if raised.isRequest() {
+		return c.requestCount >= maxRequestsPerCrash
+	}
+	return len(c.accused)-c.requestCount >= maxPartsPerCrash
+}
+
+// weight returns the weight with which the crash accuses a feature.
+func (c *crash) weight(feature uint64) int {
+	switch c.accused[feature].state {
 	case Strong:
 		return strongWeight
 	case Weak:
@@ -273,7 +380,7 @@
 	return 0
 }
 
-// accusesHeld reports whether a crash accuses a part that is held back.
+// accusesHeld reports whether a crash accuses anything that is held back.
 func (t *Tracker) accusesHeld(c *crash) bool {
-	return slices.ContainsFunc(t.held, func(h *hold) bool { return c.weight(h.part) > 0 })
+	return slices.ContainsFunc(t.held, func(h *hold) bool { return c.weight(h.feature) > 0 })
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -16,16 +16,24 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // prompt returns a prompt with shared parts and a part of its own.
-func prompt(shared ...string) []relay.PromptPart {
+func prompt(shared ...string) Request {
 	var parts []relay.PromptPart
 	for _, id := range shared {
 		parts = append(parts, relay.PromptPart{ID: id, Tokens: 100})
 	}
-	return append(parts, relay.PromptPart{ID: "own", Tokens: 10})
+	return Request{Prompt: append(parts, relay.PromptPart{ID: "own", Tokens: 10})}
 }
 
-func always(uint64) bool { return true }
-func never(uint64) bool  { return false }
+// progress returns how far an engine had got that had sent no headers, or only those.
+func progress(weak bool) Progress {
+	if weak {
+		return NoAnswer
+	}
+	return HeadersSent
+}
+
+func always(uint64) int { return 0 }
+func never(uint64) int  { return NoTrial }
 
 // event is the crash of an engine before its answer to a prompt, or an answer that begins
 // if engine is 0.
@@ -90,9 +98,9 @@
 				now := start.Add(e.after)
 				tracker.Expire(now)
 				if e.engine == 0 {
-					tracker.RecordAnswer(prompt(e.parts...), now)
+					tracker.RecordAnswerBegun(prompt(e.parts...), now)
 				} else {
-					tracker.RecordCrash(prompt(e.parts...), e.engine, !e.weak, now)
+					tracker.RecordCrash(prompt(e.parts...), e.engine, progress(e.weak), now)
 				}
 			}
 			names := make(map[uint64]string)
@@ -103,7 +111,7 @@
 			}
 			var held []string
 			for _, hold := range tracker.Held(start.Add(time.Minute)) {
-				held = append(held, names[hold.Part])
+				held = append(held, names[hold.Feature])
 			}
 			slices.Sort(held)
 			must.Eq(t, c.held, held)
@@ -117,7 +125,7 @@
 	var now time.Time
 	for engine := range uint32(3) {
 		now = start.Add(time.Duration(engine) * time.Second)
-		tracker.RecordCrash(prompt("fatal"), engine+1, true, now)
+		tracker.RecordCrash(prompt("fatal"), engine+1, HeadersSent, now)
 	}
 	return tracker, now
 }
@@ -130,7 +138,7 @@
 	must.Eq(t, 3, hold.Crashes)
 	must.Eq(t, 59*time.Second, hold.For)
 	must.Nil(t, tracker.Check(prompt("system", "x"), always, now.Add(time.Second)))
-	must.Nil(t, tracker.Check(append(prompt("system"), relay.PromptPart{ID: "fatal"}), always, now.Add(time.Second)), must.Sprint("the last part is the request's own"))
+	must.Nil(t, tracker.Check(Request{Prompt: []relay.PromptPart{{ID: "system"}, {ID: "fatal"}}}, always, now.Add(time.Second)), must.Sprint("the last part is the request's own"))
 }
 
 func TestTrialsOfAHeldPart(t *testing.T) {
@@ -141,11 +149,13 @@
 	must.NotNil(t, tracker.Check(prompt("fatal"), always, now.Add(time.Second)), must.Sprint("one trial at a time"))
 	must.Nil(t, tracker.Check(prompt("fatal"), always, now.Add(11*time.Second)), must.Sprint("the first trial had no result"))
 
-	tracker.RecordCrash(prompt("fatal"), 4, true, now.Add(12*time.Second))
+	tracker.RecordCrash(prompt("fatal"), 4, HeadersSent, now.Add(12*time.Second))
 	must.NotNil(t, tracker.Check(prompt("fatal"), always, now.Add(131*time.Second)))
 	must.Nil(t, tracker.Check(prompt("fatal"), always, now.Add(132*time.Second)), must.Sprint("the delay doubles with each crash"))
 
-	must.Eq(t, []uint64{PartHash("fatal")}, tracker.RecordAnswer(prompt("fatal"), now.Add(133*time.Second)))
+	released := tracker.RecordAnswerBegun(prompt("fatal"), now.Add(133*time.Second))
+	must.Len(t, 1, released)
+	must.Eq(t, PartHash("fatal"), released[0].Feature)
 	for range 2 {
 		must.Nil(t, tracker.Check(prompt("fatal"), never, now.Add(134*time.Second)))
 	}
@@ -163,10 +173,10 @@
 		}
 		for i := range 3 {
 			at := start.Add(time.Duration(i) * 10 * time.Millisecond)
-			daemons[i].RecordCrash(prompt("system", "fatal"), uint32(i+1), true, at)
-			daemons[3].RecordCrash(prompt("system", "rare"), uint32(i+1), false, at)
+			daemons[i].RecordCrash(prompt("system", "fatal"), uint32(i+1), HeadersSent, at)
+			daemons[3].RecordCrash(prompt("system", "rare"), uint32(i+1), NoAnswer, at)
 		}
-		daemons[3].RecordAnswer(prompt("system"), start.Add(time.Second))
+		daemons[3].RecordAnswerBegun(prompt("system"), start.Add(time.Second))
 		now := start.Add(2 * time.Second)
 		for range 200 {
 			from, to := random.IntN(len(daemons)), random.IntN(len(daemons))
@@ -176,7 +186,7 @@
 		for i, daemon := range daemons {
 			held := daemon.Held(now)
 			must.Len(t, 1, held, must.Sprint("seed ", seed, " daemon ", i))
-			must.Eq(t, PartHash("fatal"), held[0].Part)
+			must.Eq(t, PartHash("fatal"), held[0].Feature)
 		}
 	}
 }
@@ -200,7 +210,7 @@
 func TestManyCrashesDoNotDisplaceAHeldPart(t *testing.T) {
 	tracker, now := holdFatal()
 	for i := range 2000 {
-		tracker.RecordCrash(prompt(fmt.Sprint("a", i), fmt.Sprint("b", i)), uint32(100+i), false, now)
+		tracker.RecordCrash(prompt(fmt.Sprint("a", i), fmt.Sprint("b", i)), uint32(100+i), NoAnswer, now)
 	}
 	must.NotNil(t, tracker.Check(prompt("fatal"), always, now))
 	must.LessEq(t, 2, len(tracker.Reports(2, now)))
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -16,6 +16,9 @@
 	// maxToldParts is how many accused parts are told of each crash: those with strong
 	// accusations, then those cleared, the most specific ones first.
 	maxToldParts = 12
+	// maxToldRequests is how many accused requests are told of each crash: those that other
+	// crashes accuse as well, then the rest in turn.
+	maxToldRequests = 8
 )
 
 // Report is what one daemon tells another of a crash.
@@ -23,18 +26,21 @@
 	Engine  uint32        // hash of the engine's incarnation
 	Age     time.Duration // time since the crash
 	Accused []Accused
+	// Suspicious is set if the crash accuses a part strongly, or a request that another
+	// crash accuses as well. It is for the daemon itself and not told.
+	Suspicious bool
 }
 
-// Accused is a part that a crash accuses.
+// Accused is a feature that a crash accuses.
 type Accused struct {
-	Part  uint64 // hash of the part's id
-	Depth uint32 // position in the prompt
-	State State
+	Feature uint64 // hash of a part's id, or digest of a whole request
+	Depth   uint32 // position in the prompt; after all parts for a whole request
+	State   State
 }
 
 // Reports returns what to tell another daemon, at most count crashes: those of which
-// something was learnt lately, and those that accuse held parts, in turn. If there are
-// both, each kind gets half. Of the first kind, those that share an accused part with
+// something was learnt lately, and those that accuse what is held back, in turn. If there are
+// both, each kind gets half. Of the first kind, those that share an accused feature with
 // others come first, then the least told. Crashes without a strong accusation are not told:
 // nearly all of them have other causes than a prompt, and reports take the place of loads.
 func (t *Tracker) Reports(count int, now time.Time) []Report {
@@ -47,7 +53,7 @@
 			accusing = append(accusing, c)
 		}
 	}
-	accusers := t.accusersByPart()
+	accusers := t.accuserCounts()
 	slices.SortFunc(recent, func(a, b *crash) int {
 		return cmp.Or(compareBool(b.shares(accusers), a.shares(accusers)), cmp.Compare(a.told, b.told), b.changedAt.Compare(a.changedAt), cmp.Compare(a.engine, b.engine))
 	})
@@ -62,7 +68,7 @@
 	for i, c := range told {
 		c.told++
 		c.toldBefore = true
-		reports[i] = c.report(now)
+		reports[i] = c.report(accusers, now)
 	}
 	return reports
 }
@@ -77,61 +83,81 @@
 	return false
 }
 
-// accusersByPart returns the number of crashes that accuse each part.
-func (t *Tracker) accusersByPart() map[uint64]int {
+// accuserCounts returns the number of crashes that accuse each feature.
+func (t *Tracker) accuserCounts() map[uint64]int {
 	accusers := make(map[uint64]int)
 	for _, c := range t.crashes {
-		for part := range c.accused {
-			if c.weight(part) > 0 {
-				accusers[part]++
+		for feature := range c.accused {
+			if c.weight(feature) > 0 {
+				accusers[feature]++
 			}
 		}
 	}
 	return accusers
 }
 
-// shares reports whether the crash accuses a part that others accuse as well.
+// shares reports whether the crash accuses a feature that others accuse as well.
 func (c *crash) shares(accusers map[uint64]int) bool {
-	for part := range c.accused {
-		if c.weight(part) > 0 && accusers[part] > 1 {
+	for feature := range c.accused {
+		if c.weight(feature) > 0 && accusers[feature] > 1 {
 			return true
 		}
 	}
 	return false
 }
 
-// report returns what is known of the crash.
-func (c *crash) report(now time.Time) Report {
+// report returns what to tell of the crash.
+func (c *crash) report(accusers map[uint64]int, now time.Time) Report {
 	report := Report{Engine: c.engine, Age: now.Sub(c.at)}
-	for part, accused := range c.accused {
-		report.Accused = append(report.Accused, Accused{part, accused.depth, accused.state})
+	var parts, shared, requests []Accused
+	for feature, accused := range c.accused {
+		told := Accused{feature, accused.depth, accused.state}
+		isShared := accused.state != Cleared && accusers[feature] > 1
+		switch {
+		case !accused.isRequest():
+			parts = append(parts, told)
+			report.Suspicious = report.Suspicious || accused.state == Strong
+		case isShared:
+			shared = append(shared, told)
+			report.Suspicious = true
+		default:
+			requests = append(requests, told)
+		}
 	}
-	slices.SortFunc(report.Accused, func(a, b Accused) int {
-		return cmp.Or(cmp.Compare(tellOrder(a.State), tellOrder(b.State)), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Part, b.Part))
+	slices.SortFunc(parts, func(a, b Accused) int {
+		return cmp.Or(cmp.Compare(tellOrder(a.State), tellOrder(b.State)), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Feature, b.Feature))
 	})
-	report.Accused = report.Accused[:min(len(report.Accused), maxToldParts)]
+	slices.SortFunc(shared, func(a, b Accused) int {
+		return cmp.Or(cmp.Compare(accusers[b.Feature], accusers[a.Feature]), cmp.Compare(a.Feature, b.Feature))
+	})
+	slices.SortFunc(requests, func(a, b Accused) int { return cmp.Compare(a.Feature, b.Feature) })
+	report.Accused = append(parts[:min(len(parts), maxToldParts)], shared[:min(len(shared), maxToldRequests)]...)
+	for range min(len(requests), maxToldRequests-min(len(shared), maxToldRequests)) {
+		c.requestsTold = (c.requestsTold + 1) % len(requests)
+		report.Accused = append(report.Accused, requests[c.requestsTold])
+	}
 	return report
 }
 
 // tellOrder returns the position of a state among those to be told.
 func tellOrder(state State) int { return slices.Index([]State{Strong, Cleared, Weak}, state) }
 
-// Merge records what another daemon has told. It returns the parts that are held back from
-// now on and those that no longer are, and whether other daemons should hear of it at once.
-func (t *Tracker) Merge(reports []Report, now time.Time) (newlyHeld []Hold, released []uint64, urgent bool) {
+// Merge records what another daemon has told. It returns what is held back from now on
+// and what no longer is, and whether other daemons should hear of it at once.
+func (t *Tracker) Merge(reports []Report, now time.Time) (newlyHeld []Hold, released []Hold, urgent bool) {
 	changed := false
 	for _, report := range reports {
 		c := t.crashOf(report.Engine, now.Add(-report.Age), now)
 		for _, accused := range report.Accused {
-			if c.raise(accused.Part, accusation{accused.Depth, min(accused.State, Cleared)}, now) {
+			if c.raise(accused.Feature, accusation{min(accused.Depth, requestDepth), min(accused.State, Cleared)}, now) {
 				changed = true
-				urgent = urgent || len(t.Accusers(accused.Part)) > 1
+				urgent = urgent || len(t.Accusers(accused.Feature)) > 1
 			}
 		}
 	}
 	if !changed {
 		return nil, nil, false
 	}
-	released = t.releasedBy(func() { newlyHeld = t.updateHeld(now) })
+	released = t.releasedBy(now, func() { newlyHeld = t.updateHeld(now) })
 	return newlyHeld, released, urgent
 }
--- a/internal/coordination/quarantine/simulation_test.go
+++ b/internal/coordination/quarantine/simulation_test.go
@@ -48,7 +48,7 @@
 // waitingRequest is a request whose answer has not begun.
 type waitingRequest struct {
 	daemon int
-	parts  []relay.PromptPart
+	parts  Request
 	begins int // tick
 	fatal  bool
 }
@@ -76,7 +76,7 @@
 		return
 	}
 	for _, request := range e.waiting {
-		s.daemons[request.daemon].RecordCrash(request.parts, e.incarnation, request.begins <= s.tick, s.now)
+		s.daemons[request.daemon].RecordCrash(request.parts, e.incarnation, progress(request.begins > s.tick), s.now)
 	}
 	s.engines[engine] = simulatedEngine{upAgain: s.tick + restartTicks}
 }
@@ -137,7 +137,7 @@
 			s.crash(engine)
 			return
 		default:
-			s.daemons[request.daemon].RecordAnswer(request.parts, s.now)
+			s.daemons[request.daemon].RecordAnswerBegun(request.parts, s.now)
 		}
 	}
 	e.waiting = waiting
@@ -184,7 +184,7 @@
 			if s.random.IntN(30) == 0 {
 				fatal := s.soundRequest()
 				fatal.fatal = true
-				fatal.parts = []relay.PromptPart{fatal.parts[0], {ID: "fatal", Tokens: 50}, fatal.parts[1], {ID: "own"}}
+				fatal.parts = Request{Prompt: []relay.PromptPart{fatal.parts.Prompt[0], {ID: "fatal", Tokens: 50}, fatal.parts.Prompt[1], {ID: "own"}}}
 				s.send(fatal)
 			}
 			s.advance()
@@ -194,7 +194,7 @@
 					must.Len(t, 1, held, must.Sprint("seed ", seed, " daemon ", i, " ", s.now.Sub(start), " fifth ", fifth.Sub(start), held))
 				}
 				for _, hold := range held {
-					must.Eq(t, PartHash("fatal"), hold.Part, must.Sprint("seed ", seed, " daemon ", i, " holds back a sound part"))
+					must.Eq(t, PartHash("fatal"), hold.Feature, must.Sprint("seed ", seed, " daemon ", i, " holds back a sound part"))
 					if fifth.IsZero() && hold.Crashes >= crashBound {
 						fifth = s.now
 					}
@@ -245,7 +245,7 @@
 			parts := prompt("system", "fatal", fmt.Sprint("session-", random.IntN(20)))
 			if i := random.IntN(fleetSize); daemons[i].Check(parts, never, now) == nil {
 				crashes++
-				if _, urgent := daemons[i].RecordCrash(parts, crashes, true, now); urgent {
+				if _, urgent := daemons[i].RecordCrash(parts, crashes, HeadersSent, now); urgent {
 					nextExchange[i] = min(nextExchange[i], tickNumber+urgentTicks)
 				}
 				if crashes == crashBound {
@@ -256,7 +256,7 @@
 				}
 			}
 		}
-		daemons[random.IntN(fleetSize)].RecordAnswer(prompt("system", fmt.Sprint("session-", random.IntN(20))), now)
+		daemons[random.IntN(fleetSize)].RecordAnswerBegun(prompt("system", fmt.Sprint("session-", random.IntN(20))), now)
 		if tickNumber%100 == 99 { // a daemon is replaced; it exchanges state first of all
 			i := random.IntN(fleetSize)
 			daemons[i], nextExchange[i] = New(), tickNumber
@@ -279,7 +279,7 @@
 		}
 		for i, daemon := range daemons {
 			for _, hold := range daemon.Held(now) {
-				must.Eq(t, PartHash("fatal"), hold.Part, must.Sprint("seed ", seed, " daemon ", i, " holds back a sound part"))
+				must.Eq(t, PartHash("fatal"), hold.Feature, must.Sprint("seed ", seed, " daemon ", i, " holds back a sound part"))
 			}
 		}
 	}
--- a/internal/ctl/restrictions.go
+++ b/internal/ctl/restrictions.go
@@ -20,7 +20,7 @@
 	c.forEachDaemon(func(i int, address string) {
 		answers[i], errs[i] = queryDaemon[restrictions.Restrictions](ctx, address, restrictions.Path)
 	})
-	parts := &table{title: "parts of prompts that are held back", header: []string{"host", "part", "crashes", "engines", "next trial", "trial here"}}
+	parts := &table{title: "requests and parts of prompts that are held back", header: []string{"host", "kind", "digest or part", "crashes", "engines", "next trial", "trial here"}}
 	targets := &table{title: "targets with a limit", header: []string{"host", "target", "per s", "next request in", "said ago"}}
 	printed := []*restrictions.Restrictions{}
 	for _, answer := range answers {
@@ -29,7 +29,11 @@
 		}
 		printed = append(printed, answer)
 		for _, part := range answer.Parts {
-			parts.addRow(answer.Host, part.Part, part.Crashes, part.Engines, milliseconds(part.TrialInMs), part.TrialIsHere)
+			kind := "part"
+			if part.WholeRequest {
+				kind = "request"
+			}
+			parts.addRow(answer.Host, kind, part.Part, part.Crashes, part.Engines, milliseconds(part.TrialInMs), part.TrialIsHere)
 		}
 		for _, target := range answer.Targets {
 			targets.addRow(answer.Host, target.Target, target.PerS, milliseconds(target.WaitMs), milliseconds(target.AgeMs))
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -28,10 +28,10 @@
 		now := time.Now()
 		for _, hold := range c.quarantine.Held(now) {
 			held := restrictions.HeldPart{
-				Part: partName(hold.Part), Crashes: hold.Crashes, Engines: []string{},
-				TrialInMs: hold.For.Milliseconds(), TrialIsHere: c.isTrialDaemon(hold.Part),
+				Part: partName(hold.Feature), WholeRequest: hold.IsRequest, Crashes: hold.Crashes, Engines: []string{},
+				TrialInMs: hold.For.Milliseconds(), TrialIsHere: c.trialRank(hold.Feature) == 0,
 			}
-			for _, engine := range c.quarantine.Accusers(hold.Part) {
+			for _, engine := range c.quarantine.Accusers(hold.Feature) {
 				held.Engines = append(held.Engines, fmt.Sprintf("%08x", engine))
 			}
 			current.Parts = append(current.Parts, held)
--- a/internal/gateway/admin_test.go
+++ b/internal/gateway/admin_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/protocol/restrictions"
 )
@@ -14,9 +15,9 @@
 func TestRestrictionsShowWhatIsHeldBackAndWhy(t *testing.T) {
 	f, writers, _ := newFixture(t)
 	c := f.daemon.coordinator
-	prompt := []relay.PromptPart{{ID: fatalPart}, {ID: "own"}}
+	request := quarantine.Request{Prompt: []relay.PromptPart{{ID: fatalPart}, {ID: "own"}}}
 	for _, target := range c.domainTargets("north") {
-		c.recordCrash(target, []waitingPrompt{{prompt, true}})
+		c.recordCrash(target, []brokenRequest{{request: request, progress: quarantine.HeadersSent}})
 		if target.ID == writers[0].ID {
 			c.recordLimit(target, 2.5)
 		}
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/coordination/quarantine"
 )
 
 // chooseTarget chooses the target of the request's next attempt and counts the request as
@@ -12,14 +13,14 @@
 //
 // If the target is reading the prompt of the request's session for another request and
 // the request may wait, chooseTarget chooses none and returns a channel that is closed
-// when the prompt has been read. It chooses none either, and sets the request's hold, if a
-// part of the prompt is held back.
+// when the prompt has been read. It chooses none either, and sets the request's hold, if the
+// request or a part of its prompt is held back.
 func (c *coordinator) chooseTarget(req *relayedRequest, mayWait bool) (placement.Choice, <-chan struct{}) {
 	var wait chan struct{}
 	var choice placement.Choice
 	c.do(func() {
 		now := time.Now()
-		if req.hold = c.quarantine.Check(req.call.Parts, c.isTrialDaemon, now); req.hold != nil {
+		if req.hold = c.checkQuarantine(req, c.trialRank, now); req.hold != nil {
 			return
 		}
 		query := c.newQuery(req, now)
@@ -45,6 +46,17 @@
 	return choice, nil
 }
 
+// checkQuarantine returns why the request's next attempt must not be made, nil if it may
+// be. The caller must run on the coordinator's goroutine.
+func (c *coordinator) checkQuarantine(req *relayedRequest, trialRank func(uint64) int, now time.Time) *quarantine.Hold {
+	if req.brokenAt != 0 {
+		if hold := c.quarantine.CheckRetry(req.features(), req.brokenAt); hold != nil {
+			return hold
+		}
+	}
+	return c.quarantine.Check(req.features(), trialRank, now)
+}
+
 // newQuery describes a request's next attempt. The caller must run on the coordinator's
 // goroutine.
 func (c *coordinator) newQuery(req *relayedRequest, now time.Time) placement.Query {
@@ -85,8 +97,8 @@
 	found := false
 	c.do(func() {
 		now := time.Now()
-		noTrial := func(uint64) bool { return false }
-		if c.quarantine.Check(req.call.Parts, noTrial, now) == nil {
+		noTrial := func(uint64) int { return quarantine.NoTrial }
+		if c.checkQuarantine(req, noTrial, now) == nil {
 			found = c.choose(req, c.newQuery(req, now), now).Target != nil
 		}
 	})
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -37,9 +37,9 @@
 	// computed again.
 	incarnations map[string]uint32
 	limited      limitedTargets
-	// isTrialDaemon reports whether this daemon sends the trials of a part that is held
-	// back.
-	isTrialDaemon func(part uint64) bool
+	// trialRank returns the rank of this daemon among those that may send trials of a
+	// feature that is held back, 0 for the first.
+	trialRank     func(feature uint64) int
 	budgets       map[string]*attempt.Budget // by service
 	budgetPolicy  budgetPolicy
 	hasTargets    bool          // the roster has had a target
@@ -64,7 +64,7 @@
 		ownDomain:     domain,
 		promptReads:   newPromptReads(),
 		quarantine:    quarantine.New(),
-		isTrialDaemon: func(uint64) bool { return true },
+		trialRank:     func(uint64) int { return 0 },
 		budgets:       make(map[string]*attempt.Budget),
 		budgetPolicy:  policy,
 		targetsLoaded: make(chan struct{}),
@@ -271,22 +271,22 @@
 	return c.budgetPolicy.fleetExtra / float64(max(1, c.budgetPolicy.daemons()))
 }
 
-// recordAnswer records that a target has begun its answer to a prompt. It returns the
-// parts that are no longer held back.
-func (c *coordinator) recordAnswer(target *fleet.Target, prompt []relay.PromptPart) (released []uint64) {
+// recordAnswer records that a target has begun its answer to a request. It returns what is
+// no longer held back.
+func (c *coordinator) recordAnswer(target *fleet.Target, request quarantine.Request) (released []quarantine.Hold) {
 	c.do(func() {
-		c.promptReads.end(promptRead{placement.SessionKey(prompt), target.ID})
-		released = c.quarantine.RecordAnswer(prompt, time.Now())
+		c.promptReads.end(promptRead{placement.SessionKey(request.Prompt), target.ID})
+		released = c.quarantine.RecordAnswerBegun(request, time.Now())
 	})
 	return released
 }
 
-// finishAttempt records the end of an attempt and reports whether its outcome ejects
-// the target. If the outcome is not conclusive, because the caller left first, it
-// says nothing about the health of the target.
-func (c *coordinator) finishAttempt(target *fleet.Target, session uint64, outcome outlier.Outcome, conclusive bool) bool {
-	ejected := false
+// finishAttempt records the end of an attempt. It reports whether its outcome ejects the
+// target, and what is no longer held back. If the outcome is not conclusive, because the
+// caller left first, it says nothing about the health of the target.
+func (c *coordinator) finishAttempt(target *fleet.Target, request quarantine.Request, outcome outlier.Outcome, conclusive bool) (ejected bool, released []quarantine.Hold) {
 	c.do(func() {
+		session := placement.SessionKey(request.Prompt)
 		c.promptReads.end(promptRead{session, target.ID})
 		c.placement.RecordEnd(target.ID)
 		if outcome != outlier.Served {
@@ -296,13 +296,16 @@
 			return
 		}
 		now := time.Now()
+		if outcome == outlier.Served || outcome == outlier.ServerError {
+			released = c.quarantine.RecordAnswerComplete(request, now)
+		}
 		if outcome == outlier.Served {
 			c.outlier.RecordRecovery(target.ID, now)
 			c.domains.RecordAnswer(target.FailureDomain)
 		}
 		ejected = c.outlier.RecordOutcome(target.ID, outcome, c.serviceFailureShare(target.Service, now), now)
 	})
-	return ejected
+	return ejected, released
 }
 
 // markDomainCutOff marks a failure domain as cut off and ejects its targets. It reports
--- a/internal/gateway/fatal_request_test.go
+++ b/internal/gateway/fatal_request_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
 )
 
@@ -65,6 +66,20 @@
 	return count
 }
 
+// removeCrashed removes the entries of crashed targets, as the platform does after a while,
+// and waits until all daemons know it.
+func (c *fatalRequestFleet) removeCrashed() {
+	left := len(c.targets) + 2 - c.crashes() // and those of the other service
+	for _, target := range c.targets {
+		if target.Crashed() {
+			c.daemons[0].store.Delete(platform.KindTargets, target.ID)
+		}
+	}
+	for _, daemon := range c.daemons {
+		daemon.within(recoveryTimeout, func() bool { return daemon.rosterSize() == left })
+	}
+}
+
 // arrivals returns how often the request has reached targets.
 func (c *fatalRequestFleet) arrivals() int {
 	count := 0
@@ -149,6 +164,7 @@
 				fleet.sendFatal()
 			}
 			must.LessEq(t, maxRunsAfterVerdict, fleet.arrivals()-before)
+			fleet.removeCrashed()
 			fleet.sendSound("after")
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,7 +91,7 @@
 	g.store.OnRequest = g.metrics.countStoreCall
 	g.pool.OnDial = g.metrics.countDial
 	g.peers = newPeers(g, selfMember(settings, peerListener))
-	g.coordinator.isTrialDaemon = g.peers.ranksFirst
+	g.coordinator.trialRank = g.peers.rankFor
 	g.coordinator.limits = ratelimit.New(g.peers)
 	g.targets = newTargetList(g)
 	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -67,6 +67,9 @@
 // countHeldPart counts a part of prompts that is held back because engines crash on it.
 func (c *counters) countHeldPart() { c.scope.Counter("held_parts_total").Inc(1) }
 
+// countHeldRequest counts a request that is held back because targets crash on it.
+func (c *counters) countHeldRequest() { c.scope.Counter("held_requests_total").Inc(1) }
+
 // countRetry counts a retry by the reason for which the previous attempt failed.
 func (c *counters) countRetry(reason string) {
 	c.scope.Tagged(map[string]string{"reason": reason}).Counter("retries_total").Inc(1)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"hemlockknot/internal/coordination/member"
 	"hemlockknot/internal/coordination/placement"
+	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/coordination/storefollow"
 	"hemlockknot/internal/protocol/peerpb"
@@ -257,14 +259,16 @@
 	if age, lately := p.gateway.targets.storeReturnAge(now); lately {
 		state.StoreReturnAgeMs = uint32(max(1, age.Milliseconds()))
 	}
-	state.EngineCrashes = encodeCrashes(p.gateway.coordinator.crashReports(crashesPerExchange))
+	crashes := p.gateway.coordinator.crashReports(crashesPerExchange)
+	state.EngineCrashes = encodeCrashes(crashes)
+	suspicious := slices.ContainsFunc(crashes, func(r quarantine.Report) bool { return r.Suspicious })
 	ends := endsPerExchange
-	if len(state.EngineCrashes) > 0 {
+	if suspicious {
 		ends = endsBesideCrashes
 	}
 	encodeLimits(state, p.gateway.coordinator.limitReports(limitsPerExchange, ends))
 	loads, holders := loadsPerExchange, holdersPerExchange
-	if len(state.EngineCrashes)+len(state.LimitedTargets)+len(state.UnlimitedTargets) > 0 { // they take the place of most loads and of all holders
+	if suspicious || len(state.LimitedTargets)+len(state.UnlimitedTargets) > 0 { // they take the place of most loads and of all holders
 		loads, holders = loadsBesideTrouble, 0
 	}
 	for _, load := range p.gateway.coordinator.mostLoaded(loads) {
@@ -470,9 +474,9 @@
 	return p.table.Count()
 }
 
-// ranksFirst reports whether this daemon ranks first for a key among the live daemons that
-// it knows.
-func (p *peers) ranksFirst(key uint64) bool {
+// rankFor returns the rank of this daemon for a key among the live daemons that it knows,
+// 0 for the first.
+func (p *peers) rankFor(key uint64) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var candidates []ranking.Candidate
@@ -481,8 +485,7 @@
 			candidates = append(candidates, ranking.Candidate{Name: daemon.GetName(), Weight: 1})
 		}
 	}
-	first := ranking.Top(key, candidates, 1)
-	return len(first) == 0 || first[0] == p.table.Self().GetName()
+	return max(0, slices.Index(ranking.Order(key, candidates), p.table.Self().GetName()))
 }
 
 // announceLeaving marks this daemon as stopping in the state that peers receive.
--- a/internal/gateway/prompt_reads_test.go
+++ b/internal/gateway/prompt_reads_test.go
@@ -39,7 +39,7 @@
 	must.Eq(t, first.Target.ID, second.Target.ID, must.Sprint("a request waits once only"))
 	must.Nil(t, noWait)
 
-	c.recordAnswer(first.Target, streamRequest("a").call.Parts)
+	c.recordAnswer(first.Target, streamRequest("a").features())
 	select {
 	case <-wait:
 	case <-time.After(settleTimeout):
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,12 +4,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/protocol/peerpb"
-	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/fleet"
 	"hemlockknot/internal/transport/exchange"
 )
@@ -20,52 +21,63 @@
 // crashChecks finds out whether an engine whose connection broke has crashed.
 type crashChecks struct {
 	mu      sync.Mutex
-	running map[uint32][]waitingPrompt // by incarnation
+	running map[uint32][]brokenRequest // by incarnation
 }
 
-// waitingPrompt is a prompt whose answer had not begun when the connection broke.
-type waitingPrompt struct {
-	parts       []relay.PromptPart
-	headersSent bool // by the engine
+// brokenRequest is a request whose attempt ended without a complete answer.
+type brokenRequest struct {
+	request  quarantine.Request
+	progress quarantine.Progress
+	silent   bool // the connection did not break; the daemon gave up waiting
 }
 
 func newCrashChecks() *crashChecks {
-	return &crashChecks{running: make(map[uint32][]waitingPrompt)}
+	return &crashChecks{running: make(map[uint32][]brokenRequest)}
 }
 
-// add adds a prompt to the check of an engine and reports whether it is the first one.
-func (c *crashChecks) add(engine uint32, prompt waitingPrompt) bool {
+// add adds a request to the check of an engine and reports whether it is the first one.
+func (c *crashChecks) add(engine uint32, request brokenRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running[engine] = append(c.running[engine], prompt)
+	c.running[engine] = append(c.running[engine], request)
 	return len(c.running[engine]) == 1
 }
 
-// end ends the check of an engine and returns its prompts.
-func (c *crashChecks) end(engine uint32) []waitingPrompt {
+// end ends the check of an engine and returns its requests.
+func (c *crashChecks) end(engine uint32) []brokenRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	prompts := c.running[engine]
+	requests := c.running[engine]
 	delete(c.running, engine)
-	return prompts
+	return requests
 }
 
-// checkForCrash records a crash if the target of an attempt that broke before its answer
-// began accepts no connections any more. A single broken connection proves no crash.
-func (g *Gateway) checkForCrash(target *fleet.Target, prompt waitingPrompt) {
-	if len(prompt.parts) == 0 || !g.crashChecks.add(target.IncarnationHash(), prompt) {
+// checkForCrash records a crash if the target of an attempt that ended without a complete
+// answer accepts no connections any more. A single broken connection proves no crash.
+func (g *Gateway) checkForCrash(req *relayedRequest, progress quarantine.Progress, silent bool) {
+	target := req.choice.Target
+	if !silent {
+		req.brokenAt = target.IncarnationHash()
+	}
+	if !g.crashChecks.add(target.IncarnationHash(), brokenRequest{req.features(), progress, silent}) {
 		return
 	}
 	go func() {
 		g.metrics.countDial()
 		conn, err := net.DialTimeout("tcp", target.Address, exchange.DialTimeout)
-		prompts := g.crashChecks.end(target.IncarnationHash())
+		requests := g.crashChecks.end(target.IncarnationHash())
 		if err == nil {
 			_ = conn.Close()
 			return
 		}
-		g.log.Warn("target crashed before its answer", "target", target.ID, "requests", len(prompts), "error", err)
-		newlyHeld, urgent := g.coordinator.recordCrash(target, prompts)
+		if !errors.Is(err, syscall.ECONNREFUSED) { // the path to the target may be cut off
+			requests = slices.DeleteFunc(requests, func(r brokenRequest) bool { return r.silent })
+		}
+		if len(requests) == 0 {
+			return
+		}
+		g.log.Warn("target crashed", "target", target.ID, "requests", len(requests), "digests", loggedDigests(requests), "error", err)
+		newlyHeld, urgent := g.coordinator.recordCrash(target, requests)
 		g.logHolds(newlyHeld, nil, "own")
 		if urgent {
 			g.peers.spreadNews()
@@ -73,14 +85,25 @@
 	}()
 }
 
-// recordCrash records that a target has crashed before it began its answers to prompts. It
-// returns the parts that are held back from now on, and whether other daemons should hear
-// of it at once.
-func (c *coordinator) recordCrash(target *fleet.Target, prompts []waitingPrompt) (newlyHeld []quarantine.Hold, urgent bool) {
+// maxLoggedDigests limits the digests of requests in a log line.
+const maxLoggedDigests = 16
+
+// loggedDigests returns the digests of requests for a log line.
+func loggedDigests(requests []brokenRequest) []string {
+	var digests []string
+	for _, broken := range requests[:min(len(requests), maxLoggedDigests)] {
+		digests = append(digests, digestName(broken.request.Digest))
+	}
+	return digests
+}
+
+// recordCrash records that a target has crashed while it ran requests. It returns what is
+// held back from now on, and whether other daemons should hear of it at once.
+func (c *coordinator) recordCrash(target *fleet.Target, requests []brokenRequest) (newlyHeld []quarantine.Hold, urgent bool) {
 	c.do(func() {
 		now := time.Now()
-		for _, prompt := range prompts {
-			held, isUrgent := c.quarantine.RecordCrash(prompt.parts, target.IncarnationHash(), prompt.headersSent, now)
+		for _, broken := range requests {
+			held, isUrgent := c.quarantine.RecordCrash(broken.request, target.IncarnationHash(), broken.progress, now)
 			newlyHeld, urgent = append(newlyHeld, held...), urgent || isUrgent
 		}
 	})
@@ -90,25 +113,39 @@
 // recordAnswer records that a target has begun its answer to a request: it has read the
 // prompt, and no part of the prompt crashes engines.
 func (g *Gateway) recordAnswer(req *relayedRequest) {
-	g.logHolds(nil, g.coordinator.recordAnswer(req.choice.Target, req.call.Parts), "own")
+	g.logHolds(nil, g.coordinator.recordAnswer(req.choice.Target, req.features()), "own")
 }
 
-// logHolds logs and counts the parts that are held back from now on, and those that no
-// longer are.
-func (g *Gateway) logHolds(newlyHeld []quarantine.Hold, released []uint64, source string) {
+// logHolds logs and counts what is held back from now on, and what no longer is.
+func (g *Gateway) logHolds(newlyHeld, released []quarantine.Hold, source string) {
 	for _, hold := range newlyHeld {
+		trialAfter := hold.For.Milliseconds()
+		if hold.IsRequest {
+			g.metrics.countHeldRequest()
+			g.log.Warn("request is held back", "digest", digestName(hold.Feature), "crashes", hold.Crashes, "source", source, "trial_after_ms", trialAfter)
+			continue
+		}
 		g.metrics.countHeldPart()
-		g.log.Warn("part of prompts is held back", "part", partName(hold.Part),
-			"crashes", hold.Crashes, "source", source, "trial_after_ms", hold.For.Milliseconds())
+		g.log.Warn("part of prompts is held back", "part", partName(hold.Feature), "crashes", hold.Crashes, "source", source, "trial_after_ms", trialAfter)
 	}
-	for _, part := range released {
-		g.log.Warn("part of prompts is no longer held back", "part", partName(part), "source", source)
+	for _, hold := range released {
+		if hold.IsRequest {
+			g.log.Warn("request is no longer held back", "digest", digestName(hold.Feature), "source", source)
+			continue
+		}
+		g.log.Warn("part of prompts is no longer held back", "part", partName(hold.Feature), "source", source)
 	}
 }
 
 // partName returns the name of a part in logs.
 func partName(hash uint64) string { return fmt.Sprintf("%016x", hash) }
 
+// features returns what the request may have in common with others under which targets
+// crash.
+func (req *relayedRequest) features() quarantine.Request {
+	return quarantine.Request{Digest: req.digest, Prompt: req.call.Parts}
+}
+
 // crashReports returns the crashes to tell another daemon of, at most count.
 func (c *coordinator) crashReports(count int) []quarantine.Report {
 	var reports []quarantine.Report
@@ -117,7 +154,7 @@
 }
 
 // mergeCrashes records the crashes that another daemon has told of.
-func (c *coordinator) mergeCrashes(reports []quarantine.Report) (newlyHeld []quarantine.Hold, released []uint64, urgent bool) {
+func (c *coordinator) mergeCrashes(reports []quarantine.Report) (newlyHeld []quarantine.Hold, released []quarantine.Hold, urgent bool) {
 	if len(reports) > 0 {
 		c.do(func() { newlyHeld, released, urgent = c.quarantine.Merge(reports, time.Now()) })
 	}
@@ -142,7 +179,7 @@
 	for _, report := range reports {
 		crash := &peerpb.EngineCrash{Engine: report.Engine, AgeMs: uint32(report.Age.Milliseconds())}
 		for _, accused := range report.Accused {
-			crash.Parts = append(crash.Parts, accused.Part)
+			crash.Parts = append(crash.Parts, accused.Feature)
 			crash.DepthsAndStates = append(crash.DepthsAndStates, accused.Depth<<stateBits|uint32(accused.State))
 		}
 		encoded = append(encoded, crash)
@@ -158,7 +195,7 @@
 		for i := range min(len(crash.GetParts()), len(crash.GetDepthsAndStates())) {
 			encoded := crash.GetDepthsAndStates()[i]
 			report.Accused = append(report.Accused, quarantine.Accused{
-				Part: crash.GetParts()[i], Depth: encoded >> stateBits, State: quarantine.State(encoded & (1<<stateBits - 1)),
+				Feature: crash.GetParts()[i], Depth: encoded >> stateBits, State: quarantine.State(encoded & (1<<stateBits - 1)),
 			})
 		}
 		reports = append(reports, report)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -46,6 +46,7 @@
 	// already.
 	retryReserved atomic.Bool
 	hold          *quarantine.Hold // why the last attempt was not made; nil if it was
+	brokenAt      uint32           // incarnation of the last target whose connection broke; 0: none
 
 	chosenAt       time.Time         // when choice was made
 	lastEventID    int64             // last stream event that the caller has received
@@ -104,6 +105,9 @@
 	}
 	if req.hold != nil {
 		req.reason = "part_held_back"
+		if req.hold.IsRequest {
+			req.reason = "request_held_back"
+		}
 		return attempt.HeldBack
 	}
 	if choice.Target == nil {
@@ -237,7 +241,9 @@
 // idle connections to it. An outcome that is not conclusive says nothing about the
 // target, since the caller left first.
 func (g *Gateway) recordOutcome(req *relayedRequest, outcome outlier.Outcome, conclusive bool) {
-	if g.coordinator.finishAttempt(req.choice.Target, placement.SessionKey(req.call.Parts), outcome, conclusive) {
+	ejected, released := g.coordinator.finishAttempt(req.choice.Target, req.features(), outcome, conclusive)
+	g.logHolds(nil, released, "own")
+	if ejected {
 		g.metrics.countEjection()
 		g.pool.CloseIdle(req.choice.Target.Address)
 		g.log.Warn("target ejected", "target", req.choice.Target.ID, "request", req.call.ID, "reason", req.reason)
@@ -266,24 +272,30 @@
 	default:
 		req.reason = "broken"
 		g.recordOutcome(req, outlier.ConnectionLost, !callerLeft)
-		if !callerLeft {
-			g.checkForCrash(req.choice.Target, waitingPrompt{req.call.Parts, false})
-		}
 	}
 	if !callerLeft {
+		g.checkForCrash(req, quarantine.NoAnswer, exchangeErr.TimedOut)
 		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", exchangeErr, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
 	}
 	return attempt.NoAnswer
 }
 
+// progressOf returns how far a target that had sent headers had got with its answer.
+func progressOf(begun bool) quarantine.Progress {
+	if begun {
+		return quarantine.AnswerBegun
+	}
+	return quarantine.HeadersSent
+}
+
 // relayBuffered reads a response that is not a stream to its end before it forwards
 // any of it. If a stream has begun, such a response cannot continue it.
 func (g *Gateway) relayBuffered(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
 	body, err := req.buffers.readAll(response, maxResponseBytes)
 	if err != nil {
 		req.reason = "incomplete_answer"
-		if len(body) == 0 && !isTimeout(err) && req.r.Context().Err() == nil {
-			g.checkForCrash(req.choice.Target, waitingPrompt{req.call.Parts, true})
+		if !errors.Is(err, errNoBufferSpace) && req.r.Context().Err() == nil {
+			g.checkForCrash(req, progressOf(len(body) > 0), isTimeout(err))
 		}
 		g.recordOutcome(req, outlier.ConnectionLost, req.r.Context().Err() == nil && !errors.Is(err, errNoBufferSpace))
 		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", err, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -63,8 +63,8 @@
 	g.recordResult(req, result)
 }
 
-// retryAfter returns when the caller of a request that has not run should retry. If a part
-// of its prompt is held back, that is not before the next trial of the part. If all
+// retryAfter returns when the caller of a request that has not run should retry. If it
+// or a part of its prompt is held back, that is not before the next trial. If all
 // targets of the service want no requests for a time, that is not before the first of
 // them takes requests again.
 func (g *Gateway) retryAfter(req *relayedRequest, outcome attempt.Outcome) time.Duration {
@@ -102,7 +102,7 @@
 		fields = append(fields, "target", req.choice.Target.ID, "load", req.choice.Load, "mean_load", req.choice.MeanLoad, "fetched", req.choice.FetchFrom != nil)
 	}
 	if req.hold != nil {
-		fields = append(fields, "held_part", partName(req.hold.Part), "held_part_id", truncatedID(req.hold.PartID), "crashes", req.hold.Crashes)
+		fields = append(fields, "held_part", partName(req.hold.Feature), "held_part_id", truncatedID(req.hold.PartID), "held_request", req.hold.IsRequest, "crashes", req.hold.Crashes)
 	}
 	if home := req.choice.Home; home != nil && home != req.choice.Target {
 		fields = append(fields, "home", home.ID, "home_draining", home.Draining, "home_load", req.choice.HomeLoad)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,8 +96,8 @@
 func (g *Gateway) handleStreamError(req *relayedRequest, begun bool, err error) attempt.Outcome {
 	callerLeft := req.r.Context().Err() != nil
 	req.reason = "stream_broken"
-	if !begun && !callerLeft && !isTimeout(err) {
-		g.checkForCrash(req.choice.Target, waitingPrompt{req.call.Parts, true})
+	if !callerLeft {
+		g.checkForCrash(req, progressOf(begun), isTimeout(err))
 	}
 	g.recordOutcome(req, outlier.ConnectionLost, !callerLeft)
 	if !callerLeft {
--- a/internal/gateway/target_limit_bench_test.go
+++ b/internal/gateway/target_limit_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/coordination/ratelimit"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/fleet"
@@ -43,7 +44,7 @@
 					triedTargets:  make(map[string]bool),
 				}
 				if choice, _ := c.chooseTarget(req, false); choice.Target != nil {
-					c.finishAttempt(choice.Target, 1, 0, false)
+					c.finishAttempt(choice.Target, quarantine.Request{}, 0, false)
 				}
 			}
 		})
--- a/internal/protocol/restrictions/restrictions.go
+++ b/internal/protocol/restrictions/restrictions.go
@@ -12,14 +12,15 @@
 	Targets []LimitedTarget `json:"limited_targets"`
 }
 
-// HeldPart is a part of prompts that is held back because engines crash on it. Times are
-// in milliseconds.
+// HeldPart is a part of prompts, or a whole request, that is held back because engines
+// crash on it. Times are in milliseconds.
 type HeldPart struct {
-	Part        string   `json:"part"` // as in the gateway's log
-	Crashes     int      `json:"crashes"`
-	Engines     []string `json:"engines"`       // that have crashed; hashes of incarnations that are gone
-	TrialInMs   int64    `json:"trial_in_ms"`   // until the next trial is due
-	TrialIsHere bool     `json:"trial_is_here"` // this daemon makes the trial
+	Part         string   `json:"part"`          // as in the gateway's log; the digest of a whole request
+	WholeRequest bool     `json:"whole_request"` // not a part
+	Crashes      int      `json:"crashes"`
+	Engines      []string `json:"engines"`       // that have crashed; hashes of incarnations that are gone
+	TrialInMs    int64    `json:"trial_in_ms"`   // until the next trial is due
+	TrialIsHere  bool     `json:"trial_is_here"` // this daemon makes the trial
 }
 
 // LimitedTarget is a target that names how many requests it takes.
