Log the software version of targets and what callers resume

The entry's version and the caller's Resumes are decoded and logged; nothing decides by them yet, but a change of the version is a new incarnation.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -101,6 +101,9 @@
 	if req.choice.Target != nil {
 		fields = append(fields, "target", req.choice.Target.ID, "load", req.choice.Load, "mean_load", req.choice.MeanLoad, "fetched", req.choice.FetchFrom != nil)
 	}
+	if req.choice.Target != nil && req.route.Resumable {
+		fields = append(fields, "target_version", req.choice.Target.SoftwareVersion, "resumes", req.call.Resumes, "resumes_after_event", req.call.LastEventID)
+	}
 	if req.hold != nil {
 		fields = append(fields, "held_part", partName(req.hold.Feature), "held_part_id", truncatedID(req.hold.PartID), "held_request", req.hold.IsRequest, "crashes", req.hold.Crashes)
 	}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -19,6 +19,7 @@
 	PromptTokens    int           // tokens of the whole prompt
 	MaxAnswerTokens int           // the largest number of tokens of the answer
 	LastEventID     int64         // the stream continues after this event; 0: from the start
+	Resumes         string        // id of the request that brought the stream's first event; empty if this one may bring it
 }
 
 // Dispatch holds what a daemon adds to a call when it sends the call to a target.
--- a/internal/state/fleet/target.go
+++ b/internal/state/fleet/target.go
@@ -17,12 +17,16 @@
 	Slots         int   // maximum number of concurrent requests
 	Draining      bool  // finishes its requests but accepts no new ones
 	StartedMS     int64 // start of the incarnation in Unix milliseconds; 0 if unknown
+	// SoftwareVersion names the version of the software that the target runs; empty if
+	// unknown. Versions have no order.
+	SoftwareVersion string
 }
 
 // SameIncarnation reports whether both values describe the same incarnation at the same
-// address.
+// address, running the same software.
 func (t *Target) SameIncarnation(other *Target) bool {
-	return t.ID == other.ID && t.Address == other.Address && t.StartedMS == other.StartedMS && t.Service == other.Service
+	return t.ID == other.ID && t.Address == other.Address && t.StartedMS == other.StartedMS && t.Service == other.Service &&
+		t.SoftwareVersion == other.SoftwareVersion
 }
 
 // IncarnationHash returns a short name of the incarnation, by which daemons tell each
