Streams go on only at the software version that began them

Cause: what must stay the same over all runs of one stream was not part of the choice of a target.

Change: the first event pins a stream to the version of the target that sent it. A caller that takes it up names the request that brought that event; its origin is found at any daemon, as it is copied to three others while several versions serve. A stream whose origin is not found is refused at once if there may be several versions.

--- /dev/null
+++ b/internal/coordination/origin/origin.go
@@ -0,0 +1,187 @@
+// Package origin tracks at which software version of a service each stream began. It is a
+// state machine without I/O or clock.
+//
+// The load that it answers is a release, or several versions side by side, while targets
+// and hosts crash: what two versions write does not fit together, so a stream may go on
+// only at the version that began it. Its caller may take it up at any daemon, also after the
+// one that served it has crashed.
+//
+// A daemon keeps the origins of its own streams. While several versions of a service serve,
+// it copies each of them to a few other daemons, and when a second version appears it copies those of
+// the streams before. The copies are found by the id of the request that brought the stream's
+// first event. A stream whose origin is not found does not go on while there may be another
+// version: a refusal costs its caller less than events that do not fit.
+package origin
+
+import "time"
+
+// Lifetime is how long an origin is kept at least: as long as a request may last by default.
+// It is kept for twice as long at most.
+const Lifetime = 30 * time.Second
+
+// maxOrigins bounds the origins of one Lifetime that are kept. At the target size a daemon
+// begins 4,000 streams in that time and keeps copies of three times as many.
+const maxOrigins = 100_000
+
+// Origin says at which software version a stream began.
+type Origin struct {
+	Request uint64 // hash of the id of the request that brought the first event
+	Service string
+	Version string
+}
+
+// Resolution says at which software version a stream may go on.
+type Resolution struct {
+	Found   bool
+	Version string // at which the stream began, if Found
+	// SeveralVersions is set if several versions serve, or did lately. The stream must not
+	// go on if its origin is not found.
+	SeveralVersions bool
+}
+
+// Tracker tracks the versions of services and the origins of streams. It is not safe for
+// concurrent use.
+type Tracker struct {
+	rotatedAt time.Time
+	recent    map[uint64]Origin // of the last Lifetime at most
+	older     map[uint64]Origin // of the Lifetime before
+	pending   []Origin          // to be copied to other daemons
+	services  map[string]*versions
+}
+
+// versions are the software versions of a service.
+type versions struct {
+	serving map[string]bool
+	endedAt map[string]time.Time // when the last target of a version was removed
+}
+
+// New returns a tracker of a daemon that starts.
+func New(now time.Time) *Tracker {
+	return &Tracker{
+		rotatedAt: now,
+		recent:    make(map[uint64]Origin), older: make(map[uint64]Origin),
+		services: make(map[string]*versions),
+	}
+}
+
+// SetVersions sets the software versions that serve, by service. If a second version of a
+// service appears, the origins of its streams are to be copied.
+func (t *Tracker) SetVersions(serving map[string]map[string]bool, now time.Time) {
+	for service, current := range serving {
+		known := t.services[service]
+		if known == nil {
+			known = &versions{endedAt: make(map[string]time.Time)}
+			t.services[service] = known
+		}
+		hadSeveral := t.SeveralVersions(service, now)
+		known.replace(current, now)
+		if !hadSeveral && t.SeveralVersions(service, now) {
+			t.copyAll(service)
+		}
+	}
+	for service, known := range t.services {
+		if serving[service] == nil {
+			known.replace(nil, now)
+		}
+	}
+}
+
+// replace replaces the versions that serve.
+func (v *versions) replace(current map[string]bool, now time.Time) {
+	for version := range v.serving {
+		if !current[version] {
+			v.endedAt[version] = now
+		}
+	}
+	v.serving = current
+}
+
+// copyAll makes the origins of a service's streams pending.
+func (t *Tracker) copyAll(service string) {
+	for _, kept := range []map[uint64]Origin{t.older, t.recent} {
+		for _, o := range kept {
+			if o.Service == service {
+				t.pending = append(t.pending, o)
+			}
+		}
+	}
+}
+
+// SeveralVersions reports whether several versions of a service serve, or did while the
+// streams began that may still be taken up.
+func (t *Tracker) SeveralVersions(service string, now time.Time) bool {
+	known := t.services[service]
+	if known == nil {
+		return false
+	}
+	count := len(known.serving)
+	for version, endedAt := range known.endedAt {
+		if !known.serving[version] && now.Sub(endedAt) <= 2*Lifetime {
+			count++
+		}
+	}
+	return count > 1
+}
+
+// Record records that a stream of this daemon has begun, or has gone on.
+func (t *Tracker) Record(o Origin, now time.Time) {
+	t.keep(o)
+	if t.SeveralVersions(o.Service, now) {
+		t.pending = append(t.pending, o)
+	}
+}
+
+// Keep keeps copies of another daemon's origins.
+func (t *Tracker) Keep(origins []Origin) {
+	for _, o := range origins {
+		t.keep(o)
+	}
+}
+
+func (t *Tracker) keep(o Origin) {
+	if len(t.recent) < maxOrigins {
+		t.recent[o.Request] = o
+	}
+}
+
+// Find returns the origin of a stream.
+func (t *Tracker) Find(request uint64) (o Origin, found bool) {
+	if o, found = t.recent[request]; !found {
+		o, found = t.older[request]
+	}
+	return o, found
+}
+
+// Resolve returns at which software version a stream may go on, as far as this daemon
+// knows. If it does not know the origin, others may; and they may know of a version that it
+// does not know yet.
+func (t *Tracker) Resolve(request uint64, service string, now time.Time) Resolution {
+	if o, found := t.Find(request); found {
+		return Resolution{Found: true, Version: o.Version}
+	}
+	return Resolution{SeveralVersions: t.SeveralVersions(service, now)}
+}
+
+// HasPending reports whether there are origins to be copied to other daemons.
+func (t *Tracker) HasPending() bool { return len(t.pending) > 0 }
+
+// TakePending returns the origins that are to be copied to other daemons.
+func (t *Tracker) TakePending() []Origin {
+	pending := t.pending
+	t.pending = nil
+	return pending
+}
+
+// Expire drops origins and versions that are too old.
+func (t *Tracker) Expire(now time.Time) {
+	if now.Sub(t.rotatedAt) >= Lifetime {
+		t.older, t.recent, t.rotatedAt = t.recent, make(map[uint64]Origin), now
+	}
+	for _, known := range t.services {
+		for version, endedAt := range known.endedAt {
+			if now.Sub(endedAt) > 2*Lifetime {
+				delete(known.endedAt, version)
+			}
+		}
+	}
+}
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -67,7 +67,7 @@
 		Parts:   req.call.Parts,
 		Draw:    req.draw,
 		Excluded: func(id string) bool {
-			return limited[id] == leftToOthers || req.triedTargets[id] || c.outlier.Ejected(id, now) || c.limitWait(id, now) > 0
+			return limited[id] == leftToOthers || c.otherVersion(req, id) || req.triedTargets[id] || c.outlier.Ejected(id, now) || c.limitWait(id, now) > 0
 		},
 		Reachable: func(id string) bool { return !c.outlier.Ejected(id, now) },
 	}
@@ -77,6 +77,12 @@
 	return query
 }
 
+// otherVersion reports whether a target runs another software version than the one at which
+// the request's stream began. The caller must run on the coordinator's goroutine.
+func (c *coordinator) otherVersion(req *relayedRequest, id string) bool {
+	return req.versionPinned && c.softwareVersions[id] != req.softwareVersion
+}
+
 // choose chooses a target. If all are ejected or have been tried, an ejected one that has
 // not been tried is better than none, unless its failure domain is cut off, or it has asked
 // for no requests or for no more than it has got. The caller must run on the coordinator's
@@ -85,7 +91,7 @@
 	choice := c.placement.Choose(query, now)
 	if choice.Target == nil {
 		query.Excluded = func(id string) bool {
-			return req.triedTargets[id] || c.outlier.Held(id) || c.outlier.Refusing(id, now) || c.limitWait(id, now) > 0
+			return c.otherVersion(req, id) || req.triedTargets[id] || c.outlier.Held(id) || c.outlier.Refusing(id, now) || c.limitWait(id, now) > 0
 		}
 		choice = c.placement.Choose(query, now)
 	}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -6,6 +6,7 @@
 
 	"hemlockknot/internal/coordination/attempt"
 	"hemlockknot/internal/coordination/cutoff"
+	"hemlockknot/internal/coordination/origin"
 	"hemlockknot/internal/coordination/outlier"
 	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/coordination/quarantine"
@@ -33,6 +34,11 @@
 	promptReads *promptReads
 	quarantine  *quarantine.Tracker
 	limits      *ratelimit.Tracker
+	origins     *origin.Tracker
+	// softwareVersions are the versions of the targets by id.
+	softwareVersions map[string]string
+	// onOriginsPending is called when origins of streams are to be copied to other daemons.
+	onOriginsPending func()
 	// incarnations are the hashes of the targets' incarnations by id; nil if they must be
 	// computed again.
 	incarnations map[string]uint32
@@ -56,18 +62,20 @@
 
 func newCoordinator(domain string, heartbeatInterval time.Duration, policy budgetPolicy) *coordinator {
 	return &coordinator{
-		tasks:         make(chan func()),
-		roster:        roster.New(heartbeatInterval),
-		placement:     placement.NewTable(domain, time.Now()),
-		outlier:       outlier.New(),
-		domains:       cutoff.NewDomains(),
-		ownDomain:     domain,
-		promptReads:   newPromptReads(),
-		quarantine:    quarantine.New(),
-		trialRank:     func(uint64) int { return 0 },
-		budgets:       make(map[string]*attempt.Budget),
-		budgetPolicy:  policy,
-		targetsLoaded: make(chan struct{}),
+		tasks:            make(chan func()),
+		roster:           roster.New(heartbeatInterval),
+		placement:        placement.NewTable(domain, time.Now()),
+		outlier:          outlier.New(),
+		domains:          cutoff.NewDomains(),
+		ownDomain:        domain,
+		promptReads:      newPromptReads(),
+		quarantine:       quarantine.New(),
+		origins:          origin.New(time.Now()),
+		onOriginsPending: func() {},
+		trialRank:        func(uint64) int { return 0 },
+		budgets:          make(map[string]*attempt.Budget),
+		budgetPolicy:     policy,
+		targetsLoaded:    make(chan struct{}),
 	}
 }
 
@@ -87,6 +95,7 @@
 			}
 			c.quarantine.Expire(now)
 			c.limits.Expire(now)
+			c.origins.Expire(now)
 		}
 	}
 }
@@ -110,6 +119,9 @@
 	now := time.Now()
 	members := c.roster.Members()
 	c.incarnations = nil
+	if c.updateVersions(now) {
+		c.onOriginsPending()
+	}
 	for _, id := range c.placement.SetMembers(members) {
 		c.outlier.Forget(id)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	g.peers = newPeers(g, selfMember(settings, peerListener))
 	g.coordinator.trialRank = g.peers.rankFor
 	g.coordinator.limits = ratelimit.New(g.peers)
+	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.targets = newTargetList(g)
 	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout)
 	return g, nil
@@ -139,6 +140,7 @@
 	if g.peerListener != nil {
 		group.Go(func() error { return mesh.Serve(background, g.peerListener, g.peers) })
 		group.Go(func() error { g.peers.run(background); return nil })
+		group.Go(func() error { g.peers.runOriginCopies(background); return nil })
 	}
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,15 +72,16 @@
 // gets the configuration and the list of targets from peers. A daemon whose watch is
 // dead notices that when a peer keeps reporting a newer list of targets.
 type peers struct {
-	gateway      *Gateway
-	client       *mesh.Client
-	address      string        // at which other daemons reach this one
-	exchangeRand *rand.Rand    // used by the goroutine of run only
-	exchangeNow  chan string   // address of a peer with a newer configuration or list
-	news         chan struct{} // signals that peers should hear of something at once
-	firstRound   chan struct{} // closed after the first round of exchanges
-	startedAt    time.Time
-	listBytes    *rate.Limiter // of packed lists of targets sent to peers
+	gateway        *Gateway
+	client         *mesh.Client
+	address        string        // at which other daemons reach this one
+	exchangeRand   *rand.Rand    // used by the goroutine of run only
+	exchangeNow    chan string   // address of a peer with a newer configuration or list
+	news           chan struct{} // signals that peers should hear of something at once
+	firstRound     chan struct{} // closed after the first round of exchanges
+	originsPending chan struct{} // signals that origins of streams are to be copied
+	startedAt      time.Time
+	listBytes      *rate.Limiter // of packed lists of targets sent to peers
 
 	mu          sync.Mutex
 	seeds       []string // without this daemon's own address
@@ -104,6 +105,7 @@
 		exchangeNow:       make(chan string, 1),
 		news:              make(chan struct{}, 1),
 		firstRound:        make(chan struct{}),
+		originsPending:    make(chan struct{}, 1),
 		startedAt:         time.Now(),
 		listBytes:         rate.NewLimiter(rate.Limit(listLinkShare*g.settings.LinkBytesPerS), listBurst),
 		table:             member.New(self),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,6 +34,13 @@
 // reasonAtLimit is the reason of a request for which no target was left within its limit.
 const reasonAtLimit = "targets_at_limit"
 
+// Reasons of a stream that cannot go on because its software version is not known, or has
+// no target left.
+const (
+	reasonUnknownOrigin     = "unknown_origin_of_stream"
+	reasonNoTargetOfVersion = "no_target_of_version"
+)
+
 // relayedRequest is a caller's request and the state of its attempts.
 type relayedRequest struct {
 	*callerRequest
@@ -46,7 +53,11 @@
 	// already.
 	retryReserved atomic.Bool
 	hold          *quarantine.Hold // why the last attempt was not made; nil if it was
-	brokenAt      uint32           // incarnation of the last target whose connection broke; 0: none
+	// softwareVersion is the only version of targets that may serve the request, as its
+	// stream began there, if versionPinned is set.
+	softwareVersion string
+	versionPinned   bool
+	brokenAt        uint32 // incarnation of the last target whose connection broke; 0: none
 
 	chosenAt       time.Time         // when choice was made
 	lastEventID    int64             // last stream event that the caller has received
@@ -69,6 +80,9 @@
 		}),
 	}
 	req.lastEventID = incoming.call.LastEventID
+	if !g.resolveOrigin(req) {
+		return
+	}
 	for {
 		outcome := g.attemptOnce(req)
 		if req.r.Context().Err() != nil {
@@ -115,6 +129,9 @@
 		if g.coordinator.atLimit(req.service) {
 			req.reason = reasonAtLimit
 		}
+		if req.versionPinned {
+			req.reason = reasonNoTargetOfVersion
+		}
 		return attempt.NoTarget
 	}
 	req.choice, req.chosenAt = choice, time.Now()
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -78,6 +78,12 @@
 	return timing.RetryAfter(refusalCause(req, outcome), remaining)
 }
 
+// retryAfterLostOrigin returns when the caller of a stream whose origin is not known should
+// retry: a daemon that knows it may be reachable then.
+func (g *Gateway) retryAfterLostOrigin(req *relayedRequest) time.Duration {
+	return timing.RetryAfter(timing.NoTargetReachable, time.Until(req.deadline))
+}
+
 // refusalCause returns why a request could not be served, which determines when the
 // caller should retry.
 func refusalCause(req *relayedRequest, outcome attempt.Outcome) timing.Cause {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,9 @@
 		if event.ID != 0 && event.ID <= req.lastEventID {
 			continue // the caller has received this event already
 		}
+		if req.firstByteAt.IsZero() {
+			g.recordOrigin(req)
+		}
 		if !g.forwardEvent(req, response, event, reader.Buffered()) {
 			g.recordOutcome(req, outlier.Served, false)
 			return attempt.Answered
--- /dev/null
+++ b/internal/gateway/stream_origin.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hemlockknot/internal/coordination/origin"
+	"hemlockknot/internal/coordination/ranking"
+	"hemlockknot/internal/protocol/peerpb"
+)
+
+const (
+	// originCopies is how many other daemons get a copy of a stream's origin. After the loss
+	// of 55% of all daemons at once, the users' worst, over three quarters of what the lost
+	// ones began is still found (TestStreamsGoOnAfterTheLossOfDaemons).
+	originCopies = 3
+	// originCandidates is how many daemons are asked for an origin: more than have copies, as
+	// daemons that have started since may rank before them.
+	originCandidates = 8
+	// originBatchDelay is how long origins are gathered before they are copied. A stream
+	// whose daemon crashes within this time of its first event cannot go on.
+	originBatchDelay = 10 * time.Millisecond
+	// originQueryTimeout is how long the caller of an interrupted stream waits for the other
+	// daemons. A round trip takes 3 ms, a connection that has to be opened twice that.
+	originQueryTimeout = 250 * time.Millisecond
+	// maxOriginCalls bounds the calls that copy origins at the same time. More are not made
+	// while many daemons do not answer.
+	maxOriginCalls = 64
+)
+
+// originKey returns the hash by which daemons find the origin of a request's stream.
+func (req *callerRequest) originKey() uint64 {
+	if req.call.Resumes != "" {
+		return xxhash.Sum64String(req.call.Resumes)
+	}
+	return xxhash.Sum64String(req.call.ID)
+}
+
+// takesUpStream reports whether the caller takes up a stream that another request of it has
+// begun.
+func (req *callerRequest) takesUpStream() bool {
+	return req.route.Resumable && (req.call.LastEventID > 0 || req.call.Resumes != "")
+}
+
+// resolveOrigin finds out at which software version a stream that the caller takes up may go
+// on. It refuses the request and returns false if it may not go on at any.
+func (g *Gateway) resolveOrigin(req *relayedRequest) bool {
+	if !req.takesUpStream() {
+		return true
+	}
+	resolution := g.coordinator.resolveOrigin(req)
+	complete := true
+	if !resolution.Found && req.call.Resumes != "" {
+		resolution, complete = g.peers.findOrigin(req, resolution)
+	}
+	if resolution.Found {
+		req.pinVersion(resolution.Version)
+		return true
+	}
+	if complete && !resolution.SeveralVersions {
+		return true
+	}
+	g.log.Info("stream cannot be taken up", "request", req.call.ID, "resumes", req.call.Resumes, "service", req.service,
+		"several_versions", resolution.SeveralVersions, "peers_answered", complete)
+	g.refuse(req.callerRequest, reasonUnknownOrigin, g.retryAfterLostOrigin(req))
+	req.reason = reasonUnknownOrigin
+	g.recordResult(req, "not_run")
+	return false
+}
+
+// pinVersion restricts all further attempts of the request to targets of a software version.
+func (req *relayedRequest) pinVersion(version string) {
+	req.softwareVersion, req.versionPinned = version, true
+}
+
+// resolveOrigin returns what this daemon knows of the origin of the stream that a request
+// takes up. A request that does not name the one that began the stream has no origin that
+// could be found.
+func (c *coordinator) resolveOrigin(req *relayedRequest) origin.Resolution {
+	var resolution origin.Resolution
+	c.do(func() {
+		now := time.Now()
+		if req.call.Resumes == "" {
+			resolution.SeveralVersions = c.origins.SeveralVersions(req.service, now)
+			return
+		}
+		resolution = c.origins.Resolve(req.originKey(), req.service, now)
+	})
+	return resolution
+}
+
+// recordOrigin records that the request's stream has begun, or gone on, at its target. It
+// reports whether there are origins to be copied to other daemons.
+func (c *coordinator) recordOrigin(req *relayedRequest) (pending bool) {
+	c.do(func() {
+		target := req.choice.Target
+		c.origins.Record(origin.Origin{Request: req.originKey(), Service: target.Service, Version: target.SoftwareVersion}, time.Now())
+		pending = c.origins.HasPending()
+	})
+	return pending
+}
+
+// recordOrigin records that the request's stream has begun, or gone on, and restricts it to
+// the software version of its target.
+func (g *Gateway) recordOrigin(req *relayedRequest) {
+	if !req.route.Resumable {
+		return
+	}
+	req.pinVersion(req.choice.Target.SoftwareVersion)
+	if g.coordinator.recordOrigin(req) {
+		g.peers.copyOrigins()
+	}
+}
+
+// updateVersions passes on which software versions serve. It reports whether there are
+// origins to be copied to other daemons. The caller must run on the coordinator's goroutine.
+func (c *coordinator) updateVersions(now time.Time) (pending bool) {
+	serving := make(map[string]map[string]bool)
+	c.softwareVersions = make(map[string]string)
+	for _, member := range c.roster.Members() {
+		target := member.Target
+		if serving[target.Service] == nil {
+			serving[target.Service] = make(map[string]bool)
+		}
+		serving[target.Service][target.SoftwareVersion] = true
+		c.softwareVersions[target.ID] = target.SoftwareVersion
+	}
+	c.origins.SetVersions(serving, now)
+	return c.origins.HasPending()
+}
+
+// takePendingOrigins returns the origins that are to be copied to other daemons.
+func (c *coordinator) takePendingOrigins() []origin.Origin {
+	var pending []origin.Origin
+	c.do(func() { pending = c.origins.TakePending() })
+	return pending
+}
+
+// copyOrigins starts to copy the pending origins soon.
+func (p *peers) copyOrigins() {
+	select {
+	case p.originsPending <- struct{}{}:
+	default:
+	}
+}
+
+// runOriginCopies copies pending origins to other daemons until the context ends.
+func (p *peers) runOriginCopies(ctx context.Context) {
+	calls := make(chan struct{}, maxOriginCalls)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.originsPending:
+		}
+		sleep(ctx, originBatchDelay)
+		for address, batches := range p.originBatches(p.gateway.coordinator.takePendingOrigins()) {
+			for _, batch := range batches {
+				select {
+				case calls <- struct{}{}:
+				default:
+					p.gateway.metrics.countPeerFailure()
+					continue
+				}
+				go func() {
+					defer func() { <-calls }()
+					if err := p.client.KeepOrigins(ctx, address, batch); err != nil {
+						p.gateway.metrics.countPeerFailure()
+					}
+				}()
+			}
+		}
+	}
+}
+
+// originBatches groups origins by the addresses of the daemons that keep their copies, and
+// by service.
+func (p *peers) originBatches(origins []origin.Origin) map[string]map[string]*peerpb.StreamOrigins {
+	batches := make(map[string]map[string]*peerpb.StreamOrigins)
+	candidates := p.originKeepers()
+	for _, o := range origins {
+		for _, address := range ranking.Top(o.Request, candidates, originCopies) {
+			if batches[address] == nil {
+				batches[address] = make(map[string]*peerpb.StreamOrigins)
+			}
+			batch := batches[address][o.Service]
+			if batch == nil {
+				batch = &peerpb.StreamOrigins{Service: o.Service}
+				batches[address][o.Service] = batch
+			}
+			index := slices.Index(batch.Versions, o.Version)
+			if index < 0 {
+				index = len(batch.Versions)
+				batch.Versions = append(batch.Versions, o.Version)
+			}
+			batch.Requests = append(batch.Requests, o.Request)
+			batch.VersionIndexes = append(batch.VersionIndexes, uint32(index))
+		}
+	}
+	return batches
+}
+
+// originKeepers returns the addresses of the daemons that may keep copies of origins: all
+// live ones but this one. Addresses are ranked instead of names, as they are what is needed.
+func (p *peers) originKeepers() []ranking.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var keepers []ranking.Candidate
+	for _, daemon := range p.table.Live(time.Now()) {
+		if daemon.GetAddress() != p.address && daemon.GetAddress() != "" && !daemon.GetLeaving() {
+			keepers = append(keepers, ranking.Candidate{Name: daemon.GetAddress(), Weight: 1})
+		}
+	}
+	return keepers
+}
+
+// KeepOrigins implements the drpc service: it keeps copies of another daemon's origins.
+func (p *peers) KeepOrigins(_ context.Context, remote *peerpb.StreamOrigins) (*peerpb.StreamOriginsKept, error) {
+	var origins []origin.Origin
+	for i := range min(len(remote.GetRequests()), len(remote.GetVersionIndexes())) {
+		if index := int(remote.GetVersionIndexes()[i]); index < len(remote.GetVersions()) {
+			origins = append(origins, origin.Origin{Request: remote.GetRequests()[i], Service: remote.GetService(), Version: remote.GetVersions()[index]})
+		}
+	}
+	c := p.gateway.coordinator
+	c.do(func() { c.origins.Keep(origins) })
+	return &peerpb.StreamOriginsKept{}, nil
+}
+
+// FindOrigin implements the drpc service: it returns what this daemon knows of the origin
+// of a stream.
+func (p *peers) FindOrigin(_ context.Context, query *peerpb.StreamOriginQuery) (*peerpb.StreamOriginReply, error) {
+	reply := &peerpb.StreamOriginReply{}
+	c := p.gateway.coordinator
+	c.do(func() {
+		o, found := c.origins.Find(query.GetRequest())
+		reply.Found, reply.Version = found, o.Version
+		reply.SeveralVersions = c.origins.SeveralVersions(query.GetService(), time.Now())
+	})
+	return reply, nil
+}
+
+// findOrigin asks other daemons for the origin of the stream that a request takes up, all at
+// once, and returns what the first one knows that knows it. Complete is false if there are
+// other daemons and none of them has answered.
+func (p *peers) findOrigin(req *relayedRequest, known origin.Resolution) (found origin.Resolution, complete bool) {
+	ctx, cancel := context.WithTimeout(req.r.Context(), originQueryTimeout)
+	defer cancel()
+	query := &peerpb.StreamOriginQuery{Request: req.originKey(), Service: req.service}
+	replies := make(chan *peerpb.StreamOriginReply)
+	var calls sync.WaitGroup
+	asked := ranking.Top(query.GetRequest(), p.originKeepers(), originCandidates)
+	complete = len(asked) == 0
+	for _, address := range asked {
+		calls.Go(func() {
+			reply, err := p.client.FindOrigin(ctx, address, query)
+			if err != nil {
+				p.gateway.metrics.countPeerFailure()
+				return
+			}
+			select {
+			case replies <- reply:
+			case <-ctx.Done():
+			}
+		})
+	}
+	go func() { calls.Wait(); close(replies) }()
+	for reply := range replies {
+		if reply.GetFound() {
+			return origin.Resolution{Found: true, Version: reply.GetVersion()}, true
+		}
+		complete = true
+		known.SeveralVersions = known.SeveralVersions || reply.GetSeveralVersions()
+	}
+	return known, complete
+}
