A caller's idle connection is closed only between two requests

What callers saw: a whole request, read by the daemon, got neither an answer nor a refusal.

Cause: a connection counted as idle until net/http had parsed its next request. When the configuration shortens the idle timeout, many connections become too old at once, and one whose request had just been read was closed; the request was passed on and cancelled.

Change: the first byte that is read ends the idle time. Bytes that are read after the close are dropped, and nothing is passed on.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -31,13 +31,13 @@
 	closeAfterResponse atomic.Bool
 	inFlight           atomic.Int64 // number of requests in flight
 
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time // only connections that are idle now
-	done      chan struct{}          // closed by shutdown
+	mu   sync.Mutex
+	idle map[*callerConn]struct{} // connections that net/http reports as idle
+	done chan struct{}            // closed by shutdown
 }
 
 func newCallerServer(handler http.Handler, idleTimeout func() time.Duration) *callerServer {
-	s := &callerServer{idleTimeout: idleTimeout, idleSince: make(map[net.Conn]time.Time), done: make(chan struct{})}
+	s := &callerServer{idleTimeout: idleTimeout, idle: make(map[*callerConn]struct{}), done: make(chan struct{})}
 	s.server = &http.Server{
 		Handler:           s.trackRequests(handler),
 		ReadHeaderTimeout: headerTimeout,
@@ -63,22 +63,24 @@
 // serve serves the listener until shutdown has completed.
 func (s *callerServer) serve(listener net.Listener) error {
 	go s.sweepIdle()
-	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(callerListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	<-s.done
 	return nil
 }
 
-// trackConnState records since when a connection has been idle.
+// trackConnState records which connections are idle.
 func (s *callerServer) trackConnState(conn net.Conn, state http.ConnState) {
+	caller := conn.(*callerConn) // of callerListener
+	caller.setState(state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateIdle {
-		s.idleSince[conn] = time.Now()
+		s.idle[caller] = struct{}{}
 		return
 	}
-	delete(s.idleSince, conn)
+	delete(s.idle, caller)
 }
 
 // sweepIdle closes connections that exceed the idle timeout, until shutdown.
@@ -99,10 +101,9 @@
 func (s *callerServer) closeIdleSince(threshold time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn, since := range s.idleSince {
-		if since.Before(threshold) {
-			_ = conn.Close()
-			delete(s.idleSince, conn)
+	for conn := range s.idle {
+		if conn.closeIfIdleSince(threshold) {
+			delete(s.idle, conn)
 		}
 	}
 }
