--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -31,6 +31,8 @@
 	{"a target drains and is replaced", (*soakRun).drainTarget},
 	{"the configuration changes", (*soakRun).publishDocument},
 	{"a part of prompts crashes engines", (*soakRun).crashOnPart},
+	{"a request crashes targets", (*soakRun).crashOnRequest},
+	{"a release of the engines' software begins", (*soakRun).beginRelease},
 	{"a target names a limit", (*soakRun).limitTarget},
 }
 
@@ -141,6 +143,15 @@
 	drained.Crash()
 }
 
+// beginRelease replaces a target. All engines that start from then on run the next version
+// of the software; the others stay.
+func (s *soakRun) beginRelease() {
+	s.mu.Lock()
+	s.releases++
+	s.mu.Unlock()
+	s.drainTarget()
+}
+
 // publishDocument writes the next version of the configuration to the store. The
 // number of routes changes with the version.
 func (s *soakRun) publishDocument() {
@@ -168,6 +179,10 @@
 	defer s.mu.Unlock()
 	id := fmt.Sprintf("%s-%d", service, len(s.targets))
 	added := &target{Target: standin.NewTarget(id, service == writersService), service: service}
+	added.TagsEvents = true
+	if service == writersService {
+		added.SoftwareVersion = fmt.Sprint("v", 1+s.releases)
+	}
 	s.targets = append(s.targets, added)
 	s.liveTargets = append(s.liveTargets, added)
 	s.store.Put(platform.KindTargets, id, added.Spec(service, "north", "ready"))
--- a/internal/soak/invariants_cases_test.go
+++ b/internal/soak/invariants_cases_test.go
@@ -39,6 +39,7 @@
 		{"response to another request", newExchange(func(e *callerExchange) { e.responseBody = "answer to 2" }), []*standin.Execution{good}, 1},
 		{"rejected as invalid", newExchange(func(e *callerExchange) { e.status = 404 }), nil, 1},
 		{"target received another body", booking, []*standin.Execution{newRun(func(r *standin.Execution) { r.Body = "order 2" })}, 1},
+		{"events of two software versions", newExchange(func(e *callerExchange) { e.versions = []string{"v1", "v2"} }), []*standin.Execution{good}, 1},
 		{"target received no workspace", booking, []*standin.Execution{newRun(func(r *standin.Execution) { r.Header = http.Header{} })}, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) { must.Len(t, test.violations, checkExchange(test.exchange, test.runs)) })
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"hemlockknot/platform/standin"
 )
@@ -48,6 +49,9 @@
 	if exchange.status >= http.StatusBadRequest && exchange.status < http.StatusInternalServerError {
 		violations = append(violations, "rejected as invalid, though it is valid")
 	}
+	if len(exchange.versions) > 1 {
+		violations = append(violations, fmt.Sprintf("the stream has events of the software versions %v", exchange.versions))
+	}
 	for _, run := range runs {
 		if run.URI != exchange.path || run.Body != exchange.body || run.Method != http.MethodPost {
 			violations = append(violations, fmt.Sprintf("the target received it as %s %s %q", run.Method, run.URI, run.Body))
@@ -62,7 +66,11 @@
 // wantResponseBody returns the body that the target's response must have.
 func wantResponseBody(exchange callerExchange) string {
 	if exchange.stream {
-		return standin.StreamText()
+		var text strings.Builder
+		for number := exchange.receivedBefore + 1; number <= standin.EventsPerStream; number++ {
+			text.WriteString(standin.EventText(number))
+		}
+		return text.String()
 	}
 	return "answer to " + exchange.id
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -81,6 +82,8 @@
 	violations      []string
 	disturbedAt     time.Time // when a daemon was last down or suspended
 	fatalParts      int       // parts that have crashed engines
+	fatalRequests   int       // requests that have crashed targets
+	releases        int       // of the engines' software
 }
 
 // startSoakRun starts the fleet and waits until every daemon has started.
@@ -178,18 +181,27 @@
 	recoveryCaller := newCaller(callerCount, 0, s.daemons)
 	s.callers = append(s.callers, recoveryCaller)
 	requestCount := 0
+	var notServed string
 	allServed := wait.BoolFunc(func() bool {
 		for _, daemon := range s.daemons {
 			for _, kind := range requestKinds {
 				requestCount++
-				if address := daemon.currentCallerAddress(); address == "" || recoveryCaller.send(address, kind, "heal-"+string(rune('a'+requestCount%26))+time.Now().Format("150405.000000000")).status != 200 {
+				address := daemon.currentCallerAddress()
+				if address == "" {
+					notServed = daemon.name + " is down"
+					return false
+				}
+				if exchange := recoveryCaller.send(address, kind, "heal-"+string(rune('a'+requestCount%26))+time.Now().Format("150405.000000000")); exchange.status != 200 {
+					notServed = fmt.Sprintf("%s at %s: status %d, %s", exchange.path, daemon.name, exchange.status, exchange.responseBody)
 					return false
 				}
 			}
 		}
 		return true
 	})
-	must.Wait(s.t, wait.InitialSuccess(allServed, wait.Timeout(recoveryTimeout), wait.Gap(100*time.Millisecond)), must.Sprint("not every daemon serves every kind of request after the faults"))
+	if err := wait.InitialSuccess(allServed, wait.Timeout(recoveryTimeout), wait.Gap(100*time.Millisecond)).Run(); err != nil {
+		s.addViolation(fmt.Sprintf("not every daemon serves every kind of request after the faults: %v; %s", err, notServed))
+	}
 }
 
 // collectViolations returns the violations of the whole run and logs its totals.
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"time"
 
 	"hemlockknot/platform"
+	"hemlockknot/platform/standin"
 )
 
 // Bounds that the users set.
@@ -16,6 +19,11 @@
 	// know it, and maxRequestsAfterHold how many requests may reach engines after that.
 	crashesBeforeHold    = 5
 	maxRequestsAfterHold = 3
+	// crashesBeforeRequestHold is the number of crashes under one request after which
+	// daemons must know it.
+	crashesBeforeRequestHold = 3
+	// maxCrashDelay is how long a target may run such a request before it crashes.
+	maxCrashDelay = 500 * time.Millisecond
 	// limitWindow is the time over which requests to a target that names a limit are
 	// counted: limitTolerance x what the limit allows, and limitExtra, may come.
 	limitWindow    = 4 * time.Second
@@ -41,32 +49,51 @@
 	return s.disturbedAt.Before(at)
 }
 
-// liveWriters returns the engines that faults may choose.
-func (s *soakRun) liveWriters() []*target {
+// allLiveTargets returns the targets that faults may choose.
+func (s *soakRun) allLiveTargets() []*target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var writers []*target
-	for _, target := range s.liveTargets {
-		if target.service == writersService {
-			writers = append(writers, target)
-		}
-	}
-	return writers
+	return slices.Clone(s.liveTargets)
 }
 
-// Figures of a part that crashes engines.
+// Figures of requests that crash targets.
 const (
 	fatalRequests        = 40
 	fatalRequestInterval = 150 * time.Millisecond
 )
 
-// crashOnPart sends requests with a part of prompts that crashes engines, and replaces the
-// engines that crash, until the part should be held back by all daemons.
+// crashOnPart sends requests with a part of prompts that crashes engines.
 func (s *soakRun) crashOnPart() {
 	s.mu.Lock()
 	s.fatalParts++
 	part := fmt.Sprint("fatal-", s.fatalParts)
 	s.mu.Unlock()
+	s.crashTargets(part, crashesBeforeHold, func(target *target) { target.CrashOnPart(part) }, func(i int) requestKind {
+		return requestKind{path: "/queries/1", stream: true, sharedParts: fmt.Sprintf("aa:100,%s:50,bb-%d:200", part, i%3)}
+	})
+	for _, target := range s.allLiveTargets() {
+		target.CrashOnPart("")
+	}
+}
+
+// crashOnRequest repeats a request that crashes targets.
+func (s *soakRun) crashOnRequest() {
+	s.mu.Lock()
+	s.fatalRequests++
+	name := fmt.Sprint("fatal-request-", s.fatalRequests)
+	s.mu.Unlock()
+	kind := requestKinds[s.randomInt(len(requestKinds))]
+	kind.body = name
+	fatal := standin.FatalRequest{
+		Method: http.MethodPost, Path: kind.path, Body: name, Point: standin.CrashPoint(s.randomInt(3)),
+		Delay: s.randomDuration(maxCrashDelay), Reset: s.randomInt(2) == 0,
+	}
+	s.crashTargets(name, crashesBeforeRequestHold, func(target *target) { target.CrashOnRequest(fatal) }, func(int) requestKind { return kind })
+}
+
+// crashTargets sends requests that crash targets, and replaces these, for so long that all
+// daemons must hold such requests back after a number of crashes.
+func (s *soakRun) crashTargets(name string, crashesBeforeHold int, arm func(*target), kind func(i int) requestKind) {
 	sender := newCaller(callerCount+1, uint64(s.randomInt(1<<30)), s.daemons)
 	s.mu.Lock()
 	s.callers = append(s.callers, sender)
@@ -74,22 +101,18 @@
 	startedAt := time.Now()
 	var crashedAt []time.Time
 	for i := range fatalRequests {
-		for _, writer := range s.liveWriters() {
-			writer.CrashOnPart(part)
+		for _, target := range s.allLiveTargets() {
+			arm(target)
 		}
 		daemon := s.randomDaemon()
 		if address := daemon.currentCallerAddress(); address != "" {
-			kind := requestKind{path: "/queries/1", stream: true, sharedParts: fmt.Sprintf("aa:100,%s:50,bb-%d:200", part, i%3)}
-			sender.send(address, kind, fmt.Sprintf("%s-%d", part, i))
+			sender.send(address, kind(i), fmt.Sprintf("%s-%d", name, i))
 		}
 		for range s.replaceCrashed() {
 			crashedAt = append(crashedAt, time.Now())
 		}
 		time.Sleep(fatalRequestInterval)
 	}
-	for _, writer := range s.liveWriters() {
-		writer.CrashOnPart("")
-	}
 	if len(crashedAt) <= crashesBeforeHold || !s.undisturbedSince(startedAt) {
 		return
 	}
@@ -101,7 +124,7 @@
 		}
 	}
 	if late > maxRequestsAfterHold {
-		s.addViolation(fmt.Sprintf("%d engines crashed under part %s more than %s after the fifth", late, part, newsTimeout))
+		s.addViolation(fmt.Sprintf("%d targets crashed under %s more than %s after crash %d", late, name, newsTimeout, crashesBeforeHold))
 	}
 }
 
