--- a/internal/coordination/member/gossip.go
+++ b/internal/coordination/member/gossip.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// firstMembers is how many daemons of a failure domain are heard of more often than the
+// firstMembers is how many daemons of a failure domain are sent more often than the
 // others: those that decide for the others whether they are among the first.
 const firstMembers = 3
 
@@ -113,9 +113,9 @@
 	// differences between the daemons' views do not change the order.
 	minRankTimeout = 3 * HeartbeatTimeout
 	// rankTimeoutPerMember is the timeout for each known member in a large fleet. A
-	// daemon receives about 9 messages of 4 entries each second, so it hears of each of
+	// daemon receives about 9 messages of 4 entries each second, so it receives each of
 	// n members every n/36 s on average. The timeout is 3.6 times that; the first
-	// members of a failure domain, on which the order depends, are heard of more often.
+	// members of a failure domain, on which the order depends, are sent more often.
 	rankTimeoutPerMember = 100 * time.Millisecond
 )
 
--- a/internal/coordination/placement/holders.go
+++ b/internal/coordination/placement/holders.go
@@ -7,9 +7,9 @@
 	"hemlockknot/internal/protocol/relay"
 )
 
-// Parameters of what daemons tell each other about cached prompts. The load that they
+// Parameters of the reports of cached prompts between daemons. The load that they
 // answer: sessions move to other engines, because theirs was lost, replaced or full, and
-// the next request of a session comes to another daemon. Without being told, that daemon
+// the next request of a session comes to another daemon. Without a report, that daemon
 // has the prompt fetched from an engine that does not hold it, and it is read again.
 const (
 	// maxHoldersPerSession is how many engines are remembered as holding a session's
@@ -18,23 +18,23 @@
 	// maxHolderSessions bounds the sessions whose holders are remembered. When they are
 	// discarded, prompts are fetched from their home engine or read again.
 	maxHolderSessions = 50_000
-	// minToldTokens is the size of the smallest shared prompt that daemons tell of. A
+	// minSentTokens is the size of the smallest shared prompt that is reported. A
 	// smaller one is read in a few milliseconds.
-	minToldTokens = 256
-	// tellTimes is how often each daemon tells of a holder. Each daemon that hears of it
-	// for the first time does the same, so that nearly all hear of it.
-	tellTimes = 4
-	// tellLifetime is how long a holder is told of. The users expect a prompt to be
+	minSentTokens = 256
+	// sendTimes is how often each daemon reports a holder. Each daemon that receives it
+	// for the first time does the same, so that nearly all receive it.
+	sendTimes = 4
+	// sendLifetime is how long a holder is reported. The users expect a prompt to be
 	// kept for 10 s after its last use.
-	tellLifetime = 10 * time.Second
-	// maxUntold bounds the holders that wait to be told of; the largest prompts stay.
-	maxUntold = 256
+	sendLifetime = 10 * time.Second
+	// maxUnsent bounds the holders that wait to be sent; the largest prompts stay.
+	maxUnsent = 256
 	// readyAge is how long after a prompt was sent to an engine it can be fetched there:
 	// the engine has read it by then.
 	readyAge = 300 * time.Millisecond
 )
 
-// Holder tells that a session's prompt was sent to an engine. Daemons exchange them.
+// Holder says that a session's prompt was sent to an engine. Daemons exchange them.
 type Holder struct {
 	SessionHash uint32        // low 32 bits of the session's key
 	TargetHash  uint32        // low 32 bits of the hash of the engine's id
@@ -48,8 +48,8 @@
 	sentAt    time.Duration // since the table's creation
 }
 
-// untoldHolder waits to be told to other daemons.
-type untoldHolder struct {
+// unsentHolder waits to be sent to other daemons.
+type unsentHolder struct {
 	session   uint32
 	candidate *candidate
 	sentAt    time.Duration
@@ -58,14 +58,14 @@
 }
 
 // holders remembers which engines hold which sessions' prompts, by this daemon's own
-// requests and by what others tell.
+// requests and by the reports of others.
 type holders struct {
 	bySession map[uint32][]sessionHolder
-	untold    []untoldHolder // the largest prompts first
+	unsent    []unsentHolder // the largest prompts first
 }
 
 // record records that a session's prompt was sent to an engine at a time. If this is
-// news, other daemons will be told.
+// new, it will be sent to other daemons.
 func (h *holders) record(session uint32, c *candidate, sentAt time.Duration, tokens int) {
 	list := h.bySession[session]
 	for i := range list {
@@ -82,10 +82,10 @@
 		list = list[1:]
 	}
 	h.bySession[session] = list
-	if tokens >= minToldTokens {
-		h.untold = append(h.untold, untoldHolder{session, c, sentAt, tokens, tellTimes})
-		slices.SortStableFunc(h.untold, func(a, b untoldHolder) int { return b.tokens - a.tokens })
-		h.untold = h.untold[:min(len(h.untold), maxUntold)]
+	if tokens >= minSentTokens {
+		h.unsent = append(h.unsent, unsentHolder{session, c, sentAt, tokens, sendTimes})
+		slices.SortStableFunc(h.unsent, func(a, b unsentHolder) int { return b.tokens - a.tokens })
+		h.unsent = h.unsent[:min(len(h.unsent), maxUnsent)]
 	}
 }
 
@@ -97,7 +97,7 @@
 	} else {
 		h.bySession[session] = list
 	}
-	h.untold = slices.DeleteFunc(h.untold, func(u untoldHolder) bool { return u.session == session && u.candidate == c })
+	h.unsent = slices.DeleteFunc(h.unsent, func(u unsentHolder) bool { return u.session == session && u.candidate == c })
 }
 
 // holderOf returns the engine from which a chosen one should fetch a session's prompt:
@@ -127,27 +127,27 @@
 // ready reports whether the engine has read the prompt.
 func (s *sessionHolder) ready(elapsed time.Duration) bool { return elapsed-s.sentAt >= readyAge }
 
-// TakeUntold returns at most count holders to tell another daemon of, those of the
+// TakeUnsent returns at most count holders to send another daemon, those of the
 // largest prompts.
-func (t *Table) TakeUntold(count int, now time.Time) []Holder {
+func (t *Table) TakeUnsent(count int, now time.Time) []Holder {
 	elapsed := now.Sub(t.createdAt)
-	t.holders.untold = slices.DeleteFunc(t.holders.untold, func(u untoldHolder) bool {
-		return u.tellsLeft <= 0 || elapsed-u.sentAt > tellLifetime || t.byID[u.candidate.target.ID] != u.candidate
+	t.holders.unsent = slices.DeleteFunc(t.holders.unsent, func(u unsentHolder) bool {
+		return u.tellsLeft <= 0 || elapsed-u.sentAt > sendLifetime || t.byID[u.candidate.target.ID] != u.candidate
 	})
-	var told []Holder
-	for i := range t.holders.untold[:min(count, len(t.holders.untold))] {
-		u := &t.holders.untold[i]
+	var sent []Holder
+	for i := range t.holders.unsent[:min(count, len(t.holders.unsent))] {
+		u := &t.holders.unsent[i]
 		u.tellsLeft--
-		told = append(told, Holder{SessionHash: u.session, TargetHash: uint32(u.candidate.idHash), Age: elapsed - u.sentAt, Tokens: u.tokens})
+		sent = append(sent, Holder{SessionHash: u.session, TargetHash: uint32(u.candidate.idHash), Age: elapsed - u.sentAt, Tokens: u.tokens})
 	}
-	return told
+	return sent
 }
 
-// MergeHolders records the holders that another daemon has told of, except those that
+// MergeHolders records the holders that another daemon has sent, except those that
 // are unknown engines.
-func (t *Table) MergeHolders(told []Holder, now time.Time) {
+func (t *Table) MergeHolders(received []Holder, now time.Time) {
 	elapsed := now.Sub(t.createdAt)
-	for _, holder := range told {
+	for _, holder := range received {
 		if c := t.byHash[holder.TargetHash]; c != nil {
 			t.holders.record(holder.SessionHash, c, elapsed-holder.Age, holder.Tokens)
 		}
--- a/internal/coordination/placement/holders_test.go
+++ b/internal/coordination/placement/holders_test.go
@@ -12,10 +12,10 @@
 	"hemlockknot/internal/coordination/roster"
 )
 
-// tellAll passes all holders that a table wants to tell on to others.
-func tellAll(from *Table, now time.Time, to ...*Table) {
+// sendAll passes all holders that a table wants to send on to others.
+func sendAll(from *Table, now time.Time, to ...*Table) {
 	for _, table := range to {
-		table.MergeHolders(from.TakeUntold(100, now), now)
+		table.MergeHolders(from.TakeUnsent(100, now), now)
 	}
 }
 
@@ -42,13 +42,13 @@
 	must.NotEq(t, home, moved.Target.ID)
 	first.RecordStart(moved.Target.ID, query, now)
 	now = now.Add(time.Second)
-	tellAll(first, now, second)
+	sendAll(first, now, second)
 	back := second.Choose(query, now)
 	must.Eq(t, home, back.Target.ID)
 	must.Eq(t, moved.Target.ID, back.FetchFrom.ID)
 
 	first.ForgetDispatch(moved.Target.ID, query.Session) // the attempt failed
-	must.SliceEmpty(t, first.TakeUntold(100, now))
+	must.SliceEmpty(t, first.TakeUnsent(100, now))
 }
 
 // The engine that holds a prompt must still be the same incarnation and reachable. The
@@ -91,7 +91,7 @@
 	must.Eq(t, order[0], table.Choose(query, now).FetchFrom.ID, must.Sprint("only the guess is left: nothing is known of the new incarnations"))
 }
 
-// Daemons tell of the largest prompts first, each a few times and not for long, so that
+// Daemons report the largest prompts first, each a few times and not for long, so that
 // the messages stay small. Small prompts are not worth it.
 func TestTellingIsBounded(t *testing.T) {
 	table := NewTable("north", start)
@@ -102,30 +102,30 @@
 		query.Parts[1].Tokens = 100 * i
 		table.RecordStart("e1", query, now)
 	}
-	told := table.TakeUntold(8, now)
-	must.Len(t, 8, told)
-	for _, holder := range told {
+	sent := table.TakeUnsent(8, now)
+	must.Len(t, 8, sent)
+	for _, holder := range sent {
 		must.GreaterEq(t, 99_000, holder.Tokens)
 	}
 	times := 1
 	for ; ; times++ {
 		must.Less(t, 20, times)
-		if again := table.TakeUntold(8, now); again[0].SessionHash != told[0].SessionHash {
+		if again := table.TakeUnsent(8, now); again[0].SessionHash != sent[0].SessionHash {
 			break
 		}
 	}
 	must.Eq(t, 4, times)
-	must.SliceEmpty(t, table.TakeUntold(8, now.Add(11*time.Second)))
+	must.SliceEmpty(t, table.TakeUnsent(8, now.Add(11*time.Second)))
 
 	small := NewTable("north", start)
 	small.SetMembers(members(6))
 	query := session("small")
 	query.Parts[0].Tokens, query.Parts[1].Tokens = 10, 100
 	small.RecordStart("e1", query, now)
-	must.SliceEmpty(t, small.TakeUntold(8, now))
+	must.SliceEmpty(t, small.TakeUnsent(8, now))
 }
 
-// Each daemon tells random others, as exchanges do. Nearly all must hear of a holder
+// Each daemon sends to random others, as exchanges do. Nearly all must receive a holder
 // within a few rounds, also in a large fleet.
 func TestHoldersReachTheFleet(t *testing.T) {
 	for _, daemons := range []int{9, 71, 295} {
@@ -145,8 +145,8 @@
 			for i := range tables {
 				for range 2 {
 					other := tables[random.IntN(daemons)]
-					tellAll(tables[i], now, other)
-					tellAll(other, now, tables[i])
+					sendAll(tables[i], now, other)
+					sendAll(other, now, tables[i])
 				}
 			}
 		}
--- a/internal/coordination/quarantine/held.go
+++ b/internal/coordination/quarantine/held.go
@@ -10,12 +10,12 @@
 type hold struct {
 	feature   uint64
 	isRequest bool
-	ambiguous bool // another held request is accused by some of the same crashes
+	ambiguous bool // another held request is implicated by some of the same crashes
 	crashes   int
 	lastAt    time.Time // of the last crash
 }
 
-// suspect is a feature with the crashes that accuse it.
+// suspect is a feature with the crashes that implicate it.
 type suspect struct {
 	feature uint64
 	depth   uint32
@@ -33,13 +33,13 @@
 	return sum
 }
 
-// suspects returns the features that are accused with holdWeight or more, whole requests
+// suspects returns the features that are implicated with holdWeight or more, whole requests
 // first, then the most specific parts.
 func (t *Tracker) suspects() []suspect {
 	byFeature := make(map[uint64]*suspect)
 	for _, c := range t.crashes {
-		for feature, accused := range c.accused {
-			if accused.state == Cleared {
+		for feature, known := range c.evidence {
+			if known.state == Cleared {
 				continue
 			}
 			s := byFeature[feature]
@@ -47,7 +47,7 @@
 				s = &suspect{feature: feature}
 				byFeature[feature] = s
 			}
-			s.depth = max(s.depth, accused.depth)
+			s.depth = max(s.depth, known.depth)
 			s.crashes = append(s.crashes, c)
 		}
 	}
@@ -76,7 +76,7 @@
 	for _, s := range append(requests, likeliestParts(suspects[firstPart:], requests)...) {
 		h := &hold{feature: s.feature, isRequest: s.depth == requestDepth, crashes: len(s.crashes)}
 		h.ambiguous = h.isRequest && slices.ContainsFunc(requests, func(other suspect) bool {
-			return other.feature != s.feature && slices.ContainsFunc(s.crashes, other.accusedBy)
+			return other.feature != s.feature && slices.ContainsFunc(s.crashes, other.implicatedBy)
 		})
 		for _, c := range s.crashes {
 			if c.at.After(h.lastAt) {
@@ -91,14 +91,14 @@
 	return newlyHeld
 }
 
-// likeliestRequests returns the requests to hold back: those that enough crashes accuse,
+// likeliestRequests returns the requests to hold back: those that enough crashes implicate,
 // without those that only happened to run beside another one, whose crashes are some of
 // the other's. Of requests with the same crashes any may be the fatal one.
 func likeliestRequests(suspects []suspect) []suspect {
 	var chosen []suspect
 	for _, s := range suspects {
 		if !slices.ContainsFunc(suspects, func(other suspect) bool {
-			return len(other.crashes) > len(s.crashes) && !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !other.accusedBy(c) })
+			return len(other.crashes) > len(s.crashes) && !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !other.implicatedBy(c) })
 		}) {
 			chosen = append(chosen, s)
 		}
@@ -106,7 +106,7 @@
 	return chosen
 }
 
-// likeliestParts returns the parts to hold back: those that the crashes accuse enough that
+// likeliestParts returns the parts to hold back: those that the crashes implicate enough that
 // more specific held parts do not explain. One that the others make needless is let go
 // again: a session whose requests happened to be the first with a fatal part. A part is no
 // suspect if one request explains its crashes. Several requests do not: it may be what
@@ -115,7 +115,7 @@
 	var chosen []suspect
 	for _, s := range suspects {
 		if slices.ContainsFunc(heldRequests, func(request suspect) bool {
-			return s.weight(func(c *crash) bool { return !request.accusedBy(c) }) < strongWeight
+			return s.weight(func(c *crash) bool { return !request.implicatedBy(c) }) < strongWeight
 		}) {
 			continue
 		}
@@ -134,12 +134,12 @@
 	return chosen
 }
 
-// accusedBy reports whether a crash accuses the suspect.
-func (s suspect) accusedBy(c *crash) bool { return c.weight(s.feature) > 0 }
+// implicatedBy reports whether a crash implicates the suspect.
+func (s suspect) implicatedBy(c *crash) bool { return c.weight(s.feature) > 0 }
 
-// explained reports whether a crash accuses any of the suspects.
+// explained reports whether a crash implicates any of the suspects.
 func explained(c *crash, by []suspect) bool {
-	return slices.ContainsFunc(by, func(s suspect) bool { return s.accusedBy(c) })
+	return slices.ContainsFunc(by, func(s suspect) bool { return s.implicatedBy(c) })
 }
 
 // releasedBy returns what is held back before a change but not after it.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -8,17 +8,17 @@
 // the next target. What requests may have in common, a part or the whole content, is a
 // feature.
 //
-// A crash accuses all features of the requests that were running there. The parts of a
-// prompt are accused only if the answer had not begun: strongly if the engine had sent the
+// A crash implicates all features of the requests that were running there. The parts of a
+// prompt are implicated only if the answer had not begun: strongly if the engine had sent the
 // answer's headers, and so was about to write it, weakly if the request may only have
 // waited there. An answer that begins clears the parts of its prompt of all crashes before,
 // since a part that crashes engines never gets that far. A whole request may crash its
-// target at any time of its run, so it is accused strongly in any case, and only a complete
-// answer clears it. Daemons tell each other of each crash with all that it accuses; an
-// accusation only ever becomes stronger or cleared, so that reports may come in any order
+// target at any time of its run, so it is implicated strongly in any case, and only a complete
+// answer clears it. Daemons send each other each crash with all that it implicates;
+// evidence only ever becomes stronger or cleared, so that reports may come in any order
 // and more than once.
 //
-// A feature is held back once enough crashes accuse it that no other held one explains. It
+// A feature is held back once enough crashes implicate it that no other held one explains. It
 // is let go when it is cleared. As nothing with the feature is sent any more, one daemon
 // sends a single request as a trial from time to time.
 package quarantine
@@ -38,25 +38,25 @@
 
 // Thresholds and limits.
 const (
-	// A part is held back when the weights of the crashes that accuse it reach holdWeight.
-	// Three strong accusations suffice; the users expect it after five. Many more weak ones
-	// may be a coincidence: while engines crash for other causes, the rare requests of a
+	// A part is held back when the weights of the crashes that implicate it reach holdWeight.
+	// Three crashes with strong evidence suffice; the users expect it after five. Many more
+	// with weak evidence may be a coincidence: while engines crash for other causes, the rare requests of a
 	// session may wait at one engine after another that crashes.
 	strongWeight = 5
 	weakWeight   = 1
 	holdWeight   = 15
 	// usualCrashes is how many crashes it usually takes until a part is held back.
 	usualCrashes = 3
-	// crashLifetime is how long a daemon keeps a crash that accuses no held part. A daemon
-	// that starts may hear of an old crash before it knows that others hold a part back
+	// crashLifetime is how long a daemon keeps a crash that implicates no held part. A daemon
+	// that starts may receive an old crash before it knows that others hold a part back
 	// for it.
 	crashLifetime = 2 * time.Minute
-	// trialDelay is the time between the last crash that accuses a held part and the first
+	// trialDelay is the time between the last crash that implicates a held part and the first
 	// trial. It doubles with each crash beyond usualCrashes, up to maxDoublings times.
 	trialDelay   = time.Minute
 	maxDoublings = 5
 	// ambiguousTrialDelay takes the place of trialDelay for requests that the same crashes
-	// accuse: most of them are sound, and one trial that is answered shows it.
+	// implicate: most of them are sound, and one trial that is answered shows it.
 	ambiguousTrialDelay = 5 * time.Second
 	// trialStagger is the time between the trials that two daemons may make: the outcome of
 	// the first one has reached the second by then.
@@ -70,7 +70,7 @@
 	// the engine crashes, long before.
 	trialSpacing = 10 * time.Second
 	// maxCrashes bounds the crashes that are kept, maxPartsPerCrash the parts that one of
-	// them accuses, and maxRequestsPerCrash the whole requests. Callers choose the parts of
+	// them implicates, and maxRequestsPerCrash the whole requests. Callers choose the parts of
 	// prompts. An engine of the users runs 64 requests at once.
 	maxCrashes          = 64
 	maxPartsPerCrash    = 64
@@ -79,10 +79,10 @@
 	requestDepth = maxPartsPerCrash
 )
 
-// State is the state of an accusation. States only ever grow.
+// State is the strength of the evidence against a feature. It only ever grows.
 type State uint8
 
-// States of accusations.
+// States of evidence.
 const (
 	Weak    State = iota + 1 // the request may only have waited at the engine
 	Strong                   // the engine had sent the headers of its answer
@@ -110,61 +110,61 @@
 	Feature   uint64        // hash of a part's id, or digest of a whole request
 	IsRequest bool          // a whole request is held back
 	PartID    string        // set by Check if a part is held back
-	Crashes   int           // crashes that accuse the feature
+	Crashes   int           // crashes that implicate the feature
 	For       time.Duration // until the next trial
 }
 
-// Tracker tracks crashes and the features that they accuse. It is not safe for concurrent use.
+// Tracker tracks crashes and the features that they implicate. It is not safe for concurrent use.
 type Tracker struct {
 	crashes   map[uint32]*crash // by the hash of the engine's incarnation
 	held      []*hold           // whole requests first, then the most specific parts
 	triedAt   map[uint64]time.Time
-	tellStart int // position among the crashes to be told in turn
+	sendStart int // position among the crashes to be sent in turn
 }
 
 // crash is the crash of one engine.
 type crash struct {
-	engine    uint32
-	at        time.Time
-	learntAt  time.Time // by this daemon
-	changedAt time.Time // when something was learnt that others should hear
-	told      int       // how often others were told since
-	// toldBefore is set once others were told of the crash: they must hear of changes.
-	toldBefore   bool
-	accused      map[uint64]accusation // by feature
-	requestCount int                   // whole requests among the accused
-	requestsTold int                   // position among them from which others are told next
+	engine     uint32
+	at         time.Time
+	receivedAt time.Time // by this daemon
+	changedAt  time.Time // when it last changed
+	sent       int       // how often it was sent since
+	// wasSent is set once the crash was sent: changes of it must be sent too.
+	wasSent      bool
+	evidence     map[uint64]evidence // by feature
+	requestCount int                 // whole requests among the implicated
+	requestsSent int                 // position among them from which they are sent next
 }
 
-// accusation is what is known of a feature that a crash accuses.
-type accusation struct {
+// evidence is what a crash says about a feature.
+type evidence struct {
 	depth uint32 // position in the prompt: fewer sound requests share a later part
 	state State
 }
 
-// isRequest reports whether a whole request is accused.
-func (a accusation) isRequest() bool { return a.depth == requestDepth }
+// isRequest reports whether a whole request is implicated.
+func (e evidence) isRequest() bool { return e.depth == requestDepth }
 
 // New returns a tracker without crashes.
 func New() *Tracker {
 	return &Tracker{crashes: make(map[uint32]*crash), triedAt: make(map[uint64]time.Time)}
 }
 
-// PartHash returns the hash by which daemons tell each other of a part.
+// PartHash returns the hash by which daemons identify a part.
 func PartHash(id string) uint64 { return xxhash.Sum64String(id) }
 
 // RecordCrash records that an engine has crashed while it ran a request. It returns what is
-// held back from now on, and whether other daemons should hear of the crash at once, because
-// it accuses something strongly that another crash accuses as well.
+// held back from now on, and whether other daemons should receive the crash at once, because
+// it implicates something strongly that another crash implicates as well.
 func (t *Tracker) RecordCrash(request Request, engine uint32, progress Progress, now time.Time) (newlyHeld []Hold, urgent bool) {
 	c := t.crashOf(engine, now, now)
-	accuse := func(feature uint64, raised accusation) {
+	implicate := func(feature uint64, raised evidence) {
 		if c.raise(feature, raised, now) && raised.state == Strong {
-			urgent = urgent || len(t.Accusers(feature)) > 1
+			urgent = urgent || len(t.CrashesOf(feature)) > 1
 		}
 	}
 	if request.Digest != 0 {
-		accuse(request.Digest, accusation{requestDepth, Strong})
+		implicate(request.Digest, evidence{requestDepth, Strong})
 	}
 	if progress != AnswerBegun {
 		state := Weak
@@ -172,7 +172,7 @@
 			state = Strong
 		}
 		for depth, shared := range sharedParts(request.Prompt) {
-			accuse(PartHash(shared.ID), accusation{uint32(depth), state})
+			implicate(PartHash(shared.ID), evidence{uint32(depth), state})
 		}
 	}
 	return t.updateHeld(now), urgent
@@ -205,8 +205,8 @@
 	changed := false
 	for _, feature := range features {
 		for _, c := range t.crashes {
-			if accused, found := c.accused[feature]; found {
-				changed = c.raise(feature, accusation{accused.depth, Cleared}, now) || changed
+			if known, found := c.evidence[feature]; found {
+				changed = c.raise(feature, evidence{known.depth, Cleared}, now) || changed
 			}
 		}
 	}
@@ -252,19 +252,19 @@
 }
 
 // CheckRetry returns a hold on a request whose target may just have crashed under it, if
-// the crash of another engine accuses the request already: one more retry could be the
+// the crash of another engine implicates the request already: one more retry could be the
 // third crash.
 func (t *Tracker) CheckRetry(request Request, lastEngine uint32) *Hold {
-	accusers := 0
+	crashes := 0
 	for engine, c := range t.crashes {
 		if engine != lastEngine && c.weight(request.Digest) > 0 {
-			accusers++
+			crashes++
 		}
 	}
-	if accusers == 0 {
+	if crashes == 0 {
 		return nil
 	}
-	return &Hold{Feature: request.Digest, IsRequest: true, Crashes: accusers, For: trialSpacing}
+	return &Hold{Feature: request.Digest, IsRequest: true, Crashes: crashes, For: trialSpacing}
 }
 
 // Held returns what is held back.
@@ -276,8 +276,8 @@
 	return holds
 }
 
-// Accusers returns the hashes of the engines whose crashes accuse a feature, sorted.
-func (t *Tracker) Accusers(feature uint64) []uint32 {
+// CrashesOf returns the hashes of the engines whose crashes implicate a feature, sorted.
+func (t *Tracker) CrashesOf(feature uint64) []uint32 {
 	var engines []uint32
 	for engine, c := range t.crashes {
 		if c.weight(feature) > 0 {
@@ -288,11 +288,11 @@
 	return engines
 }
 
-// Expire drops old crashes that accuse nothing that is held back.
+// Expire drops old crashes that implicate nothing that is held back.
 func (t *Tracker) Expire(now time.Time) {
 	dropped := false
 	for engine, c := range t.crashes {
-		if now.Sub(c.learntAt) > crashLifetime && !t.accusesHeld(c) || now.Sub(c.at) > maxHoldTime {
+		if now.Sub(c.receivedAt) > crashLifetime && !t.implicatesHeld(c) || now.Sub(c.at) > maxHoldTime {
 			delete(t.crashes, engine)
 			dropped = true
 		}
@@ -318,17 +318,17 @@
 		if len(t.crashes) >= maxCrashes {
 			t.evict()
 		}
-		c = &crash{engine: engine, at: at, learntAt: now, changedAt: now, accused: make(map[uint64]accusation)}
+		c = &crash{engine: engine, at: at, receivedAt: now, changedAt: now, evidence: make(map[uint64]evidence)}
 		t.crashes[engine] = c
 	}
 	return c
 }
 
-// evict drops the oldest crash, one that accuses nothing that is held back if there is any.
+// evict drops the oldest crash, one that implicates nothing that is held back if there is any.
 func (t *Tracker) evict() {
 	var oldest *crash
 	for _, c := range t.crashes {
-		if oldest == nil || cmp.Or(compareBool(t.accusesHeld(c), t.accusesHeld(oldest)), c.at.Compare(oldest.at)) < 0 {
+		if oldest == nil || cmp.Or(compareBool(t.implicatesHeld(c), t.implicatesHeld(oldest)), c.at.Compare(oldest.at)) < 0 {
 			oldest = c
 		}
 	}
@@ -346,32 +346,32 @@
 	return 1
 }
 
-// raise raises the state of an accusation and reports whether it was lower. It ignores
+// raise raises the evidence against a feature and reports whether it was lower. It ignores
 // parts beyond maxPartsPerCrash and whole requests beyond maxRequestsPerCrash.
-func (c *crash) raise(feature uint64, raised accusation, now time.Time) bool {
-	known, found := c.accused[feature]
+func (c *crash) raise(feature uint64, raised evidence, now time.Time) bool {
+	known, found := c.evidence[feature]
 	if known.state >= raised.state || !found && c.isFull(raised) {
 		return false
 	}
 	if !found && raised.isRequest() {
 		c.requestCount++
 	}
-	c.accused[feature] = accusation{max(known.depth, raised.depth), raised.state}
-	c.changedAt, c.told = now, 0
+	c.evidence[feature] = evidence{max(known.depth, raised.depth), raised.state}
+	c.changedAt, c.sent = now, 0
 	return true
 }
 
-// isFull reports whether the crash accuses as many features of a kind as it may.
-func (c *crash) isFull(raised accusation) bool {
+// isFull reports whether the crash implicates as many features of a kind as it may.
+func (c *crash) isFull(raised evidence) bool {
 	if raised.isRequest() {
 		return c.requestCount >= maxRequestsPerCrash
 	}
-	return len(c.accused)-c.requestCount >= maxPartsPerCrash
+	return len(c.evidence)-c.requestCount >= maxPartsPerCrash
 }
 
-// weight returns the weight with which the crash accuses a feature.
+// weight returns the weight with which the crash implicates a feature.
 func (c *crash) weight(feature uint64) int {
-	switch c.accused[feature].state {
+	switch c.evidence[feature].state {
 	case Strong:
 		return strongWeight
 	case Weak:
@@ -380,7 +380,7 @@
 	return 0
 }
 
-// accusesHeld reports whether a crash accuses anything that is held back.
-func (t *Tracker) accusesHeld(c *crash) bool {
+// implicatesHeld reports whether a crash implicates anything that is held back.
+func (t *Tracker) implicatesHeld(c *crash) bool {
 	return slices.ContainsFunc(t.held, func(h *hold) bool { return c.weight(h.feature) > 0 })
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -88,7 +88,7 @@
 		{"two fatal parts", []event{
 			crash(1, 1, "f"), crash(2, 2, "g"), crash(3, 3, "f"), crash(4, 4, "g"), crash(5, 5, "f"), crash(6, 6, "g"),
 		}, []string{"f", "g"}},
-		{"a part of the request's own is not accused", []event{crash(1, 1), crash(2, 2), crash(3, 3)}, nil},
+		{"a part of the request's own is not implicated", []event{crash(1, 1), crash(2, 2), crash(3, 3)}, nil},
 		{"crashes long ago", []event{crash(1, 1, "a"), crash(2, 2, "a"), crash(200, 3, "a")}, nil},
 	}
 	for _, c := range cases {
@@ -162,7 +162,7 @@
 }
 
 // Three daemons each see one crash, and a fourth an answer that clears one of the parts of
-// all of them. Whatever the order in which they hear of each other, and however often, all
+// all of them. Whatever the order of their reports, and however often these come, all
 // agree.
 func TestReportsInAnyOrder(t *testing.T) {
 	for seed := range uint64(50) {
@@ -191,8 +191,8 @@
 	}
 }
 
-// A daemon that starts long after the crashes hears of them from any other one.
-func TestLateDaemonHearsOfAHeldPart(t *testing.T) {
+// A daemon that starts long after the crashes receives them from any other one.
+func TestLateDaemonReceivesAHeldPart(t *testing.T) {
 	tracker, now := holdFatal()
 	now = now.Add(10 * time.Minute)
 	tracker.Expire(now)
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -7,151 +7,151 @@
 )
 
 const (
-	// tellLifetime is how long daemons tell each other of a crash after something was
-	// learnt of it. Several rounds of exchanges reach all daemons within it.
-	tellLifetime = 10 * time.Second
-	// tellTimes is how often each daemon tells of a crash after something was learnt of it.
-	// Each daemon for which it is news does the same.
-	tellTimes = 8
-	// maxToldParts is how many accused parts are told of each crash: those with strong
-	// accusations, then those cleared, the most specific ones first.
-	maxToldParts = 12
-	// maxToldRequests is how many accused requests are told of each crash: those that other
-	// crashes accuse as well, then the rest in turn.
-	maxToldRequests = 8
+	// sendLifetime is how long a crash is reported after it has changed. Several rounds of
+	// exchanges reach all daemons within it.
+	sendLifetime = 10 * time.Second
+	// sendTimes is how often each daemon reports a crash after it has changed. Each daemon
+	// that receives the change does the same.
+	sendTimes = 8
+	// maxSentParts is how many parts a report of a crash has: those with strong evidence, then
+	// those cleared, the most specific ones first.
+	maxSentParts = 12
+	// maxSentRequests is how many whole requests a report has: those that other crashes
+	// implicate as well, then the rest in turn.
+	maxSentRequests = 8
 )
 
-// Report is what one daemon tells another of a crash.
+// Report is what one daemon sends another of a crash.
 type Report struct {
-	Engine  uint32        // hash of the engine's incarnation
-	Age     time.Duration // time since the crash
-	Accused []Accused
-	// Suspicious is set if the crash accuses a part strongly, or a request that another
-	// crash accuses as well. It is for the daemon itself and not told.
+	Engine   uint32        // hash of the engine's incarnation
+	Age      time.Duration // time since the crash
+	Evidence []Evidence
+	// Suspicious is set if the crash implicates a part strongly, or a request that another
+	// crash implicates as well. It is not sent.
 	Suspicious bool
 }
 
-// Accused is a feature that a crash accuses.
-type Accused struct {
+// Evidence is a feature that a crash implicates.
+type Evidence struct {
 	Feature uint64 // hash of a part's id, or digest of a whole request
 	Depth   uint32 // position in the prompt; after all parts for a whole request
 	State   State
 }
 
-// Reports returns what to tell another daemon, at most count crashes: those of which
-// something was learnt lately, and those that accuse what is held back, in turn. If there are
-// both, each kind gets half. Of the first kind, those that share an accused feature with
-// others come first, then the least told. Crashes without a strong accusation are not told:
-// nearly all of them have other causes than a prompt, and reports take the place of loads.
+// Reports returns at most count crashes to send another daemon: those that have changed
+// lately, and those that implicate what is held back, in turn. If there are both, each kind
+// gets half. Of the first kind, those that share an implicated feature with others come first,
+// then the least sent. Crashes without strong evidence are not sent: nearly all of them have
+// other causes than a prompt, and reports take the place of loads.
 func (t *Tracker) Reports(count int, now time.Time) []Report {
-	var accusing, recent []*crash
+	var ofHeld, recent []*crash
 	for _, c := range t.crashes {
 		switch {
-		case now.Sub(c.changedAt) <= tellLifetime && c.told < tellTimes && (c.toldBefore || c.accusesStrongly()):
+		case now.Sub(c.changedAt) <= sendLifetime && c.sent < sendTimes && (c.wasSent || c.implicatesStrongly()):
 			recent = append(recent, c)
-		case t.accusesHeld(c):
-			accusing = append(accusing, c)
+		case t.implicatesHeld(c):
+			ofHeld = append(ofHeld, c)
 		}
 	}
-	accusers := t.accuserCounts()
+	counts := t.crashCounts()
 	slices.SortFunc(recent, func(a, b *crash) int {
-		return cmp.Or(compareBool(b.shares(accusers), a.shares(accusers)), cmp.Compare(a.told, b.told), b.changedAt.Compare(a.changedAt), cmp.Compare(a.engine, b.engine))
+		return cmp.Or(compareBool(b.shares(counts), a.shares(counts)), cmp.Compare(a.sent, b.sent), b.changedAt.Compare(a.changedAt), cmp.Compare(a.engine, b.engine))
 	})
-	slices.SortFunc(accusing, func(a, b *crash) int { return cmp.Compare(a.engine, b.engine) })
-	fromAccusing := min(len(accusing), max(count/2, count-len(recent)))
-	told := recent[:min(len(recent), count-fromAccusing)]
-	for range fromAccusing {
-		t.tellStart = (t.tellStart + 1) % len(accusing)
-		told = append(told, accusing[t.tellStart])
+	slices.SortFunc(ofHeld, func(a, b *crash) int { return cmp.Compare(a.engine, b.engine) })
+	fromHeld := min(len(ofHeld), max(count/2, count-len(recent)))
+	sent := recent[:min(len(recent), count-fromHeld)]
+	for range fromHeld {
+		t.sendStart = (t.sendStart + 1) % len(ofHeld)
+		sent = append(sent, ofHeld[t.sendStart])
 	}
-	reports := make([]Report, len(told))
-	for i, c := range told {
-		c.told++
-		c.toldBefore = true
-		reports[i] = c.report(accusers, now)
+	reports := make([]Report, len(sent))
+	for i, c := range sent {
+		c.sent++
+		c.wasSent = true
+		reports[i] = c.report(counts, now)
 	}
 	return reports
 }
 
-// accusesStrongly reports whether the crash has a strong accusation that is not cleared.
-func (c *crash) accusesStrongly() bool {
-	for _, accused := range c.accused {
-		if accused.state == Strong {
+// implicatesStrongly reports whether the crash has strong evidence that is not cleared.
+func (c *crash) implicatesStrongly() bool {
+	for _, known := range c.evidence {
+		if known.state == Strong {
 			return true
 		}
 	}
 	return false
 }
 
-// accuserCounts returns the number of crashes that accuse each feature.
-func (t *Tracker) accuserCounts() map[uint64]int {
-	accusers := make(map[uint64]int)
+// crashCounts returns the number of crashes that implicate each feature.
+func (t *Tracker) crashCounts() map[uint64]int {
+	counts := make(map[uint64]int)
 	for _, c := range t.crashes {
-		for feature := range c.accused {
+		for feature := range c.evidence {
 			if c.weight(feature) > 0 {
-				accusers[feature]++
+				counts[feature]++
 			}
 		}
 	}
-	return accusers
+	return counts
 }
 
-// shares reports whether the crash accuses a feature that others accuse as well.
-func (c *crash) shares(accusers map[uint64]int) bool {
-	for feature := range c.accused {
-		if c.weight(feature) > 0 && accusers[feature] > 1 {
+// shares reports whether the crash implicates a feature that others implicate as well.
+func (c *crash) shares(counts map[uint64]int) bool {
+	for feature := range c.evidence {
+		if c.weight(feature) > 0 && counts[feature] > 1 {
 			return true
 		}
 	}
 	return false
 }
 
-// report returns what to tell of the crash.
-func (c *crash) report(accusers map[uint64]int, now time.Time) Report {
+// report returns what to send of the crash.
+func (c *crash) report(counts map[uint64]int, now time.Time) Report {
 	report := Report{Engine: c.engine, Age: now.Sub(c.at)}
-	var parts, shared, requests []Accused
-	for feature, accused := range c.accused {
-		told := Accused{feature, accused.depth, accused.state}
-		isShared := accused.state != Cleared && accusers[feature] > 1
+	var parts, shared, requests []Evidence
+	for feature, known := range c.evidence {
+		reported := Evidence{feature, known.depth, known.state}
+		isShared := known.state != Cleared && counts[feature] > 1
 		switch {
-		case !accused.isRequest():
-			parts = append(parts, told)
-			report.Suspicious = report.Suspicious || accused.state == Strong
+		case !known.isRequest():
+			parts = append(parts, reported)
+			report.Suspicious = report.Suspicious || known.state == Strong
 		case isShared:
-			shared = append(shared, told)
+			shared = append(shared, reported)
 			report.Suspicious = true
 		default:
-			requests = append(requests, told)
+			requests = append(requests, reported)
 		}
 	}
-	slices.SortFunc(parts, func(a, b Accused) int {
-		return cmp.Or(cmp.Compare(tellOrder(a.State), tellOrder(b.State)), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Feature, b.Feature))
+	slices.SortFunc(parts, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(sendOrder(a.State), sendOrder(b.State)), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Feature, b.Feature))
 	})
-	slices.SortFunc(shared, func(a, b Accused) int {
-		return cmp.Or(cmp.Compare(accusers[b.Feature], accusers[a.Feature]), cmp.Compare(a.Feature, b.Feature))
+	slices.SortFunc(shared, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(counts[b.Feature], counts[a.Feature]), cmp.Compare(a.Feature, b.Feature))
 	})
-	slices.SortFunc(requests, func(a, b Accused) int { return cmp.Compare(a.Feature, b.Feature) })
-	report.Accused = append(parts[:min(len(parts), maxToldParts)], shared[:min(len(shared), maxToldRequests)]...)
-	for range min(len(requests), maxToldRequests-min(len(shared), maxToldRequests)) {
-		c.requestsTold = (c.requestsTold + 1) % len(requests)
-		report.Accused = append(report.Accused, requests[c.requestsTold])
+	slices.SortFunc(requests, func(a, b Evidence) int { return cmp.Compare(a.Feature, b.Feature) })
+	report.Evidence = append(parts[:min(len(parts), maxSentParts)], shared[:min(len(shared), maxSentRequests)]...)
+	for range min(len(requests), maxSentRequests-min(len(shared), maxSentRequests)) {
+		c.requestsSent = (c.requestsSent + 1) % len(requests)
+		report.Evidence = append(report.Evidence, requests[c.requestsSent])
 	}
 	return report
 }
 
-// tellOrder returns the position of a state among those to be told.
-func tellOrder(state State) int { return slices.Index([]State{Strong, Cleared, Weak}, state) }
+// sendOrder returns the position of a state among those to be sent.
+func sendOrder(state State) int { return slices.Index([]State{Strong, Cleared, Weak}, state) }
 
-// Merge records what another daemon has told. It returns what is held back from now on
-// and what no longer is, and whether other daemons should hear of it at once.
+// Merge records what another daemon has sent. It returns what is held back from now on
+// and what no longer is, and whether other daemons should receive it at once.
 func (t *Tracker) Merge(reports []Report, now time.Time) (newlyHeld []Hold, released []Hold, urgent bool) {
 	changed := false
 	for _, report := range reports {
 		c := t.crashOf(report.Engine, now.Add(-report.Age), now)
-		for _, accused := range report.Accused {
-			if c.raise(accused.Feature, accusation{min(accused.Depth, requestDepth), min(accused.State, Cleared)}, now) {
+		for _, received := range report.Evidence {
+			if c.raise(received.Feature, evidence{min(received.Depth, requestDepth), min(received.State, Cleared)}, now) {
 				changed = true
-				urgent = urgent || len(t.Accusers(accused.Feature)) > 1
+				urgent = urgent || len(t.CrashesOf(received.Feature)) > 1
 			}
 		}
 	}
--- a/internal/coordination/quarantine/request_simulation_test.go
+++ b/internal/coordination/quarantine/request_simulation_test.go
@@ -15,8 +15,8 @@
 	// crashesOfVerdict is the number of crashes under one request after which the fleet must
 	// know, set by the users.
 	crashesOfVerdict = 3
-	// maxRunsAfterNews is how often the request may reach targets newsTimeout later.
-	maxRunsAfterNews = 3
+	// maxRunsAfterSpread is how often the request may reach targets spreadTimeout later.
+	maxRunsAfterSpread = 3
 	// maxRefused + one in maxRefusedShare is how many sound requests may be refused: the
 	// users allow no more for other refusals of sound requests.
 	maxRefused      = 5
@@ -43,7 +43,7 @@
 
 	crashesUnderFatal int
 	third             time.Time // crash under the fatal request
-	runsAfterNews     int
+	runsAfterSpread   int
 	heldSound         map[uint64]int // refused repetitions of sound requests by digest
 	soundSent         int
 }
@@ -71,7 +71,7 @@
 	for range daemons {
 		s.daemons = append(s.daemons, New())
 		s.nextExchange = append(s.nextExchange, s.random.IntN(exchangeTicks))
-		s.startedAt = append(s.startedAt, start.Add(-newsTimeout))
+		s.startedAt = append(s.startedAt, start.Add(-spreadTimeout))
 	}
 	for i := range s.targets {
 		s.incarnations++
@@ -109,16 +109,16 @@
 	run.attempts++
 	run.ends = s.tick + 2 + s.random.IntN(12)
 	if run.request.Digest == fatalDigest && s.mustKnow(run.daemon) {
-		s.runsAfterNews++
+		s.runsAfterSpread++
 	}
 	target := &s.targets[up[s.random.IntN(len(up))]]
 	target.running = append(target.running, run)
 }
 
 // mustKnow reports whether a daemon must know of the crashes: they, and its start, were
-// newsTimeout ago.
+// spreadTimeout ago.
 func (s *requestSimulation) mustKnow(daemon int) bool {
-	return !s.third.IsZero() && s.now.Sub(s.third) > newsTimeout && s.now.Sub(s.startedAt[daemon]) > newsTimeout
+	return !s.third.IsZero() && s.now.Sub(s.third) > spreadTimeout && s.now.Sub(s.startedAt[daemon]) > spreadTimeout
 }
 
 // retryByCaller repeats a request at another daemon, once.
@@ -128,7 +128,7 @@
 	}
 }
 
-// crash ends a target. Its requests are accused, and repeated.
+// crash ends a target. Its requests are implicated, and repeated.
 func (s *requestSimulation) crash(i int) {
 	engine, running := s.targets[i].incarnation, s.targets[i].running
 	if engine == 0 {
@@ -255,8 +255,8 @@
 				for _, count := range s.heldSound {
 					refused += count
 				}
-				t.Log("seed", seed, "crashes", s.crashesUnderFatal, "runs after", s.runsAfterNews, "sound", s.soundSent, "digests held", len(s.heldSound), "refused", refused)
-				must.LessEq(t, maxRunsAfterNews, s.runsAfterNews, must.Sprint("seed ", seed))
+				t.Log("seed", seed, "crashes", s.crashesUnderFatal, "runs after", s.runsAfterSpread, "sound", s.soundSent, "digests held", len(s.heldSound), "refused", refused)
+				must.LessEq(t, maxRunsAfterSpread, s.runsAfterSpread, must.Sprint("seed ", seed))
 				must.LessEq(t, maxRefused+s.soundSent/maxRefusedShare, refused, must.Sprint("seed ", seed))
 			}
 		})
--- a/internal/coordination/quarantine/simulation_test.go
+++ b/internal/coordination/quarantine/simulation_test.go
@@ -20,23 +20,23 @@
 	tick              = 10 * time.Millisecond
 	exchangeTicks     = 44 // an exchange with one other daemon every 0.44 s
 	restartTicks      = 300
-	// newsTimeout is how long after the fifth crash under a part all daemons may take to
+	// spreadTimeout is how long after the fifth crash under a part all daemons may take to
 	// hold it back, set by the users.
-	newsTimeout = 3 * time.Second
-	crashBound  = 5
+	spreadTimeout = 3 * time.Second
+	crashBound    = 5
 )
 
 // simulation is a fleet in which engines crash. It knows no placement: a request goes to
 // any engine, which is worse than a session that stays with its engine.
 type simulation struct {
-	t        *testing.T
-	random   *rand.Rand
-	now      time.Time
-	tick     int
-	daemons  [simulatedDaemons]*Tracker
-	engines  [simulatedEngines]simulatedEngine
-	next     uint32 // incarnation
-	lostNews float64
+	t             *testing.T
+	random        *rand.Rand
+	now           time.Time
+	tick          int
+	daemons       [simulatedDaemons]*Tracker
+	engines       [simulatedEngines]simulatedEngine
+	next          uint32 // incarnation
+	lostExchanges float64
 }
 
 type simulatedEngine struct {
@@ -54,7 +54,7 @@
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
-	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, lostNews: 0.1}
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, lostExchanges: 0.1}
 	for i := range s.daemons {
 		s.daemons[i] = New()
 	}
@@ -69,7 +69,7 @@
 	s.engines[engine] = simulatedEngine{incarnation: s.next}
 }
 
-// crash ends an engine and accuses the prompts that wait there.
+// crash ends an engine and implicates the prompts that wait there.
 func (s *simulation) crash(engine int) {
 	e := &s.engines[engine]
 	if e.incarnation == 0 {
@@ -101,7 +101,7 @@
 	}
 }
 
-// advance plays one tick: answers begin, engines restart, daemons tell each other.
+// advance plays one tick: answers begin, engines restart, daemons exchange reports.
 func (s *simulation) advance() {
 	s.tick++
 	s.now = s.now.Add(tick)
@@ -115,7 +115,7 @@
 		if s.tick%20 == 0 {
 			daemon.Expire(s.now)
 		}
-		if (s.tick+i)%exchangeTicks == 0 && s.random.Float64() >= s.lostNews {
+		if (s.tick+i)%exchangeTicks == 0 && s.random.Float64() >= s.lostExchanges {
 			peer := s.daemons[s.random.IntN(simulatedDaemons)]
 			mine, theirs := daemon.Reports(2, s.now), peer.Reports(2, s.now)
 			peer.Merge(mine, s.now)
@@ -190,7 +190,7 @@
 			s.advance()
 			for i, daemon := range s.daemons {
 				held := daemon.Held(s.now)
-				if !fifth.IsZero() && s.now.Sub(fifth) > newsTimeout {
+				if !fifth.IsZero() && s.now.Sub(fifth) > spreadTimeout {
 					must.Len(t, 1, held, must.Sprint("seed ", seed, " daemon ", i, " ", s.now.Sub(start), " fifth ", fifth.Sub(start), held))
 				}
 				for _, hold := range held {
@@ -208,28 +208,28 @@
 }
 
 // Requests with a fatal part come at any of the daemons of a small and of a large fleet,
-// some of which start late. After the fifth crash and the time that news may take, at most
+// some of which start late. After the fifth crash and the time that reports may take, at most
 // three more requests with the part may reach engines, and no sound part may be held back.
-func TestNewsOfAFatalPartReachesAllDaemons(t *testing.T) {
+func TestFatalPartIsHeldBackInFleetsOfAllSizes(t *testing.T) {
 	for fleetSize, seeds := range map[int]uint64{8: 20, 295: 2} {
 		t.Run(fmt.Sprint(fleetSize), func(t *testing.T) {
 			for seed := range seeds {
-				checkNewsOfAFatalPart(t, fleetSize, seed)
+				checkSpreadOfAFatalPart(t, fleetSize, seed)
 			}
 		})
 	}
 }
 
 const (
-	// maxRequestsAfterNews is set by the users.
-	maxRequestsAfterNews = 3
-	// urgentTicks is the time between two exchanges of a daemon that has urgent news.
+	// maxRequestsAfterSpread is set by the users.
+	maxRequestsAfterSpread = 3
+	// urgentTicks is the time between two exchanges of a daemon that has an urgent report.
 	urgentTicks = 5
 	// exchangeFanOut is the number of daemons with which a daemon exchanges at a time.
 	exchangeFanOut = 2
 )
 
-func checkNewsOfAFatalPart(t *testing.T, fleetSize int, seed uint64) {
+func checkSpreadOfAFatalPart(t *testing.T, fleetSize int, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 11))
 	daemons := make([]*Tracker, fleetSize)
 	nextExchange := make([]int, fleetSize)
@@ -251,7 +251,7 @@
 				if crashes == crashBound {
 					fifth = now
 				}
-				if crashes > crashBound && now.Sub(fifth) > newsTimeout {
+				if crashes > crashBound && now.Sub(fifth) > spreadTimeout {
 					late++
 				}
 			}
@@ -283,5 +283,5 @@
 			}
 		}
 	}
-	must.LessEq(t, maxRequestsAfterNews, late, must.Sprint("seed ", seed, ": requests with the part after all should know"))
+	must.LessEq(t, maxRequestsAfterSpread, late, must.Sprint("seed ", seed, ": requests with the part after all should know"))
 }
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -49,8 +49,8 @@
 type target struct {
 	limit     float64   // requests per second by all daemons; 0: none
 	saidAt    time.Time // when the target said so
-	changedAt time.Time // when this daemon learnt of the limit
-	told      int       // how often it has told others since
+	changedAt time.Time // when this daemon received the limit
+	sent      int       // how often it was sent since
 	bucket    bucket
 }
 
@@ -86,7 +86,7 @@
 		return false
 	}
 	t.countLimited(known.limit, limit)
-	known.limit, known.changedAt, known.told = limit, now, 0
+	known.limit, known.changedAt, known.sent = limit, now, 0
 	return true
 }
 
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -89,7 +89,7 @@
 	must.Eq(t, 500*time.Millisecond, other.Wait(1, start))
 }
 
-// The later statement of a target holds, in whatever order daemons hear of both.
+// The later statement of a target holds, in whatever order daemons receive both.
 func TestLaterStatementWins(t *testing.T) {
 	teller := New(fixedFleet{0, 2})
 	teller.RecordAnswer(1, 3, start)
@@ -117,20 +117,20 @@
 	for incarnation := range uint32(40) {
 		tracker.RecordAnswer(incarnation, 0, start)
 	}
-	told := make(map[uint32]int)
+	sent := make(map[uint32]int)
 	for range 15 {
 		reports := tracker.Reports(4, 16, start)
 		must.Len(t, 20, reports)
 		for _, report := range reports {
-			told[report.Incarnation]++
+			sent[report.Incarnation]++
 			must.Eq(t, report.Incarnation < 40, report.Limit == 0)
 		}
 	}
-	must.MapLen(t, 100, told)
+	must.MapLen(t, 100, sent)
 	for range 1000 {
 		tracker.Reports(4, 16, start)
 	}
-	must.SliceEmpty(t, tracker.Reports(4, 16, start), must.Sprint("each change is told a few times"))
+	must.SliceEmpty(t, tracker.Reports(4, 16, start), must.Sprint("each change is sent a few times"))
 	tracker.RecordAnswer(1, 3, start)
 	must.Len(t, 1, tracker.Reports(4, 16, start))
 	must.SliceEmpty(t, tracker.Reports(4, 16, start.Add(11*time.Second)))
@@ -184,7 +184,7 @@
 				}
 				for _, d := range random.Perm(len(live)) {
 					tracker := trackers[d]
-					tracker.RecordAnswer(1, limit, now) // heard from the target or a peer
+					tracker.RecordAnswer(1, limit, now) // received from the target or a peer
 					for tracker.Wait(1, now) == 0 {
 						tracker.Take(1, now)
 						sent = append(sent, now)
--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -1,11 +1,11 @@
 // Package storefollow decides whether a daemon follows the platform's store itself or
-// is told of changes by other daemons. It is a pure function of what the daemon knows.
+// receives changes from other daemons. It is a pure function of what the daemon knows.
 //
 // Each call of the store has a price, so the number of daemons that follow it must not
 // grow with the fleet: a few in each failure domain do, and the others take over only
-// when what they are told has become old. The load to avoid is a start of all hosts at
+// when what they receive has become old. The load to avoid is a start of all hosts at
 // once, when no daemon knows any other, and a large fleet, in which the slowest of many
-// daemons hears late of what the store said: neither means that nobody follows.
+// daemons receives late what the store said: neither means that nobody follows.
 package storefollow
 
 import (
@@ -20,7 +20,7 @@
 	minFollowers = 9
 	// settleTime is how long after its start a daemon may be unaware of the others of
 	// its failure domain. All daemons of a fleet may start within 0.3 s, and it takes 20
-	// rounds until each of 470 has heard of the first one of its domain.
+	// rounds until each of 470 has received the first one of its domain.
 	settleTime = 8 * time.Second
 	// roundsPerDoubling is how many rounds of exchanges it takes at most, in all but one
 	// of a thousand cases, until twice as many daemons know what the store has said.
@@ -53,7 +53,7 @@
 
 // Settling reports whether the daemon has started so lately that it may not know the
 // others, and is not one of those that others contact first. What it reads from the
-// store for its start may be stale: daemons that follow the store tell it what is new
+// store for its start may be stale: daemons that follow the store send it what is new
 // within their first exchanges.
 func (k Knowledge) Settling() bool {
 	return k.SinceStart < settleTime && k.KnowsSeeds && !k.IsSeed
@@ -68,7 +68,7 @@
 }
 
 // maxAge returns the age from which data is too old to be kept alive by followers that
-// this daemon hears of through others.
+// this daemon receives through others.
 func (k Knowledge) maxAge() time.Duration {
 	rounds := roundsPerDoubling * bits.Len(uint(max(1, k.DomainSize)))
 	if waiting := k.Preceding - Followers(k.Domains); waiting > 0 {
--- a/internal/coordination/targetview/targetview_test.go
+++ b/internal/coordination/targetview/targetview_test.go
@@ -74,7 +74,7 @@
 		{"changes of a new era cannot be applied to a list of the old one", false, func(v *View) Update {
 			return v.ApplyFromPeer([]objects.Change{deleted("a", 61)}, false, at(4, 200))
 		}, Ignored, []string{"a", "b"}, at(3, 100)},
-		{"a peer that was cut off tells of an older era", false, func(v *View) Update {
+		{"a peer that was cut off reports an older era", false, func(v *View) Update {
 			return v.ApplyFromPeer([]objects.Change{written("c", 900)}, true, at(2, 900))
 		}, Ignored, []string{"a", "b"}, at(3, 100)},
 		{"a list that was read before the restore arrives late", true, func(v *View) Update {
@@ -86,7 +86,7 @@
 		{"a full list of a peer in the same era", false, func(v *View) Update {
 			return v.ApplyFromPeer([]objects.Change{written("c", 101)}, true, at(3, 101))
 		}, Applied, []string{"c"}, at(3, 101)},
-		{"a peer tells nothing to a daemon that follows the store", true, func(v *View) Update {
+		{"a peer sends nothing to a daemon that follows the store", true, func(v *View) Update {
 			return v.ApplyFromPeer([]objects.Change{written("c", 101)}, true, at(4, 101))
 		}, Ignored, []string{"a", "b"}, at(3, 100)},
 		{"a second restore follows at once", true, func(v *View) Update {
@@ -111,7 +111,7 @@
 }
 
 // A daemon that knows only the old era is behind, whatever the numbers are. One that
-// tells of an older era is not ahead.
+// reports an older era is not ahead.
 func TestBehindIsOrderedByEra(t *testing.T) {
 	v := fixture(t, true)
 	must.True(t, v.IsBehind(at(4, 1)))
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -31,7 +31,7 @@
 				Part: partName(hold.Feature), WholeRequest: hold.IsRequest, Crashes: hold.Crashes, Engines: []string{},
 				TrialInMs: hold.For.Milliseconds(), TrialIsHere: c.trialRank(hold.Feature) == 0,
 			}
-			for _, engine := range c.quarantine.Accusers(hold.Feature) {
+			for _, engine := range c.quarantine.CrashesOf(hold.Feature) {
 				held.Engines = append(held.Engines, fmt.Sprintf("%08x", engine))
 			}
 			current.Parts = append(current.Parts, held)
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -193,7 +193,7 @@
 }
 
 // mergeLeaving records targets of which a peer knows that they leave. It returns those
-// for which this is news.
+// for which this is new.
 func (c *coordinator) mergeLeaving(hashes []uint32) []*fleet.Target {
 	var marked []*fleet.Target
 	if len(hashes) == 0 {
@@ -427,9 +427,9 @@
 	})
 }
 
-// takeUntoldHolders returns holders of prompts to tell another daemon of, at most count.
-func (c *coordinator) takeUntoldHolders(count int) []placement.Holder {
+// takeUnsentHolders returns holders of prompts to send another daemon, at most count.
+func (c *coordinator) takeUnsentHolders(count int) []placement.Holder {
 	var holders []placement.Holder
-	c.do(func() { holders = c.placement.TakeUntold(count, time.Now()) })
+	c.do(func() { holders = c.placement.TakeUnsent(count, time.Now()) })
 	return holders
 }
--- a/internal/gateway/fatal_request_test.go
+++ b/internal/gateway/fatal_request_test.go
@@ -20,7 +20,7 @@
 	// crashesBeforeVerdict is the number of crashes after which the fleet must know.
 	crashesBeforeVerdict = 3
 	// maxRunsAfterVerdict is how often such a request may still reach targets once all
-	// daemons must know, newsTimeout after the crash that shows it.
+	// daemons must know, spreadTimeout after the crash that shows it.
 	maxRunsAfterVerdict = 3
 )
 
@@ -153,7 +153,7 @@
 				fleet.sendFatal()
 			}
 			refusedInARow := 0
-			must.Wait(t, wait.InitialSuccess(wait.Timeout(newsTimeout), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
+			must.Wait(t, wait.InitialSuccess(wait.Timeout(spreadTimeout), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
 				if refusedInARow++; !fleet.sendFatal() {
 					refusedInARow = 0
 				}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,7 +33,7 @@
 	// loadsPerExchange is how many targets' loads are sent in an exchange, the highest
 	// loads first.
 	loadsPerExchange = 12
-	// loadsBesideTrouble is how many are sent in an exchange that tells of crashes of
+	// loadsBesideTrouble is how many are sent in an exchange that reports crashes of
 	// engines, or of limits that targets name.
 	loadsBesideTrouble = 3
 	// staleWatchAfter is how long a peer may know a newer list of targets before this
@@ -42,7 +42,7 @@
 	// holdersPerExchange is how many holders of prompts are sent in an exchange, those
 	// of the largest prompts first.
 	holdersPerExchange = 4
-	// minRoundSpacing is the least time between two rounds of exchanges. News starts a
+	// minRoundSpacing is the least time between two rounds of exchanges. Urgent changes start a
 	// round before the interval is over.
 	minRoundSpacing = 50 * time.Millisecond
 	// firstRoundWait is how long a daemon that starts waits for the answers of its seeds
@@ -62,7 +62,7 @@
 	// listBurst is how many bytes of lists may be sent at once. A larger list counts as
 	// this many.
 	listBurst = 256 << 10
-	// leavingPerExchange is how many leaving targets an exchange tells of. The platform
+	// leavingPerExchange is how many leaving targets an exchange reports. The platform
 	// lists a target as draining within seconds, so few are not listed yet.
 	leavingPerExchange = 16
 )
@@ -77,7 +77,7 @@
 	address        string        // at which other daemons reach this one
 	exchangeRand   *rand.Rand    // used by the goroutine of run only
 	exchangeNow    chan string   // address of a peer with a newer configuration or list
-	news           chan struct{} // signals that peers should hear of something at once
+	roundRequested chan struct{} // signals that peers should receive a change at once
 	firstRound     chan struct{} // closed after the first round of exchanges
 	originsPending chan struct{} // signals that origins of streams are to be copied
 	startedAt      time.Time
@@ -103,7 +103,7 @@
 		address:           self.GetAddress(),
 		exchangeRand:      rand.New(rand.NewPCG(self.GetIncarnation(), 0)),
 		exchangeNow:       make(chan string, 1),
-		news:              make(chan struct{}, 1),
+		roundRequested:    make(chan struct{}, 1),
 		firstRound:        make(chan struct{}),
 		originsPending:    make(chan struct{}, 1),
 		startedAt:         time.Now(),
@@ -115,7 +115,7 @@
 	return p
 }
 
-// run exchanges state with other daemons at a fixed interval, sooner if there is news,
+// run exchanges state with other daemons at a fixed interval, sooner after urgent changes,
 // and at once with a peer that has a newer configuration or list of targets, until the
 // context ends.
 func (p *peers) run(ctx context.Context) {
@@ -133,7 +133,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-p.news:
+		case <-p.roundRequested:
 			sleep(ctx, minRoundSpacing)
 		case address := <-p.exchangeNow:
 			p.exchangeWithAll(ctx, []gossipPeer{{address: address}})
@@ -141,11 +141,11 @@
 	}
 }
 
-// spreadNews starts a round of exchanges soon. Each daemon that receives the news does
+// startRoundSoon starts a round of exchanges soon. Each daemon that receives the change does
 // the same, so that it reaches all of them within a few round trips.
-func (p *peers) spreadNews() {
+func (p *peers) startRoundSoon() {
 	select {
-	case p.news <- struct{}{}:
+	case p.roundRequested <- struct{}{}:
 	default:
 	}
 }
@@ -278,7 +278,7 @@
 		state.Loads = append(state.Loads, uint32(load.Requests))
 		state.LoadAgesMs = append(state.LoadAgesMs, uint32(load.Age.Milliseconds()))
 	}
-	for _, holder := range p.gateway.coordinator.takeUntoldHolders(holders) {
+	for _, holder := range p.gateway.coordinator.takeUnsentHolders(holders) {
 		state.PromptSessions = append(state.PromptSessions, holder.SessionHash)
 		state.PromptTargets = append(state.PromptTargets, holder.TargetHash)
 		state.PromptAgesMs = append(state.PromptAgesMs, uint32(holder.Age.Milliseconds()))
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -80,7 +80,7 @@
 		newlyHeld, urgent := g.coordinator.recordCrash(target, requests)
 		g.logHolds(newlyHeld, nil, "own")
 		if urgent {
-			g.peers.spreadNews()
+			g.peers.startRoundSoon()
 		}
 	}()
 }
@@ -98,7 +98,7 @@
 }
 
 // recordCrash records that a target has crashed while it ran requests. It returns what is
-// held back from now on, and whether other daemons should hear of it at once.
+// held back from now on, and whether other daemons should receive it at once.
 func (c *coordinator) recordCrash(target *fleet.Target, requests []brokenRequest) (newlyHeld []quarantine.Hold, urgent bool) {
 	c.do(func() {
 		now := time.Now()
@@ -146,14 +146,14 @@
 	return quarantine.Request{Digest: req.digest, Prompt: req.call.Parts}
 }
 
-// crashReports returns the crashes to tell another daemon of, at most count.
+// crashReports returns the crashes to send another daemon, at most count.
 func (c *coordinator) crashReports(count int) []quarantine.Report {
 	var reports []quarantine.Report
 	c.do(func() { reports = c.quarantine.Reports(count, time.Now()) })
 	return reports
 }
 
-// mergeCrashes records the crashes that another daemon has told of.
+// mergeCrashes records the crashes that another daemon has sent.
 func (c *coordinator) mergeCrashes(reports []quarantine.Report) (newlyHeld []quarantine.Hold, released []quarantine.Hold, urgent bool) {
 	if len(reports) > 0 {
 		c.do(func() { newlyHeld, released, urgent = c.quarantine.Merge(reports, time.Now()) })
@@ -166,11 +166,11 @@
 	newlyHeld, released, urgent := p.gateway.coordinator.mergeCrashes(decodeCrashes(remote))
 	p.gateway.logHolds(newlyHeld, released, "peer")
 	if urgent {
-		p.spreadNews()
+		p.startRoundSoon()
 	}
 }
 
-// stateBits is the number of bits of an accusation's state in its encoding.
+// stateBits is the number of bits of a State in its encoding.
 const stateBits = 2
 
 // encodeCrashes encodes reports of crashes.
@@ -178,9 +178,9 @@
 	var encoded []*peerpb.EngineCrash
 	for _, report := range reports {
 		crash := &peerpb.EngineCrash{Engine: report.Engine, AgeMs: uint32(report.Age.Milliseconds())}
-		for _, accused := range report.Accused {
-			crash.Parts = append(crash.Parts, accused.Feature)
-			crash.DepthsAndStates = append(crash.DepthsAndStates, accused.Depth<<stateBits|uint32(accused.State))
+		for _, implicated := range report.Evidence {
+			crash.Parts = append(crash.Parts, implicated.Feature)
+			crash.DepthsAndStates = append(crash.DepthsAndStates, implicated.Depth<<stateBits|uint32(implicated.State))
 		}
 		encoded = append(encoded, crash)
 	}
@@ -194,7 +194,7 @@
 		report := quarantine.Report{Engine: crash.GetEngine(), Age: time.Duration(crash.GetAgeMs()) * time.Millisecond}
 		for i := range min(len(crash.GetParts()), len(crash.GetDepthsAndStates())) {
 			encoded := crash.GetDepthsAndStates()[i]
-			report.Accused = append(report.Accused, quarantine.Accused{
+			report.Evidence = append(report.Evidence, quarantine.Evidence{
 				Feature: crash.GetParts()[i], Depth: encoded >> stateBits, State: quarantine.State(encoded & (1<<stateBits - 1)),
 			})
 		}
--- a/internal/gateway/query_of_death_test.go
+++ b/internal/gateway/query_of_death_test.go
@@ -18,8 +18,8 @@
 	crashesBeforeHold = 5
 	// maxRequestsAfterHold is how many requests with the part may still reach engines.
 	maxRequestsAfterHold = 3
-	// newsTimeout is how long after that all daemons may take to hear of it.
-	newsTimeout = 3 * time.Second
+	// spreadTimeout is how long after that all daemons may take to receive it.
+	spreadTimeout = 3 * time.Second
 )
 
 // fatalPart is the part on which the engines of these tests crash.
@@ -103,7 +103,7 @@
 		fleet.sendFatal()
 	}
 	refusedInARow := 0
-	must.Wait(t, wait.InitialSuccess(wait.Timeout(newsTimeout), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(spreadTimeout), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
 		if refusedInARow++; fleet.sendFatal() != http.StatusServiceUnavailable {
 			refusedInARow = 0
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -168,7 +168,7 @@
 func (g *Gateway) recordTargetState(req *relayedRequest, status int, info relay.Answer) {
 	target := req.choice.Target
 	if status == http.StatusMisdirectedRequest {
-		return // another target now has the address, and speaks of itself
+		return // another target now has the address, and reports its own state
 	}
 	g.coordinator.recordLoad(target.ID, info.Load)
 	if g.coordinator.recordLimit(target, info.RateLimit) {
--- a/internal/gateway/target_limit.go
+++ b/internal/gateway/target_limit.go
@@ -16,7 +16,7 @@
 	limitsPerExchange = 4
 	// endsPerExchange is how many targets that have ended their limits are sent in an
 	// exchange, and endsBesideCrashes how many if crashes of engines are sent as well. Many
-	// targets may end their limits at the same time: until a daemon has heard of it, it
+	// targets may end their limits at the same time: until a daemon has received that, it
 	// leaves such a target alone, and others get more than their part.
 	endsPerExchange   = 16
 	endsBesideCrashes = 1
@@ -118,14 +118,14 @@
 	return atLimit
 }
 
-// limitReports returns the changes of limits to tell another daemon of.
+// limitReports returns the changes of limits to send another daemon.
 func (c *coordinator) limitReports(limits, ends int) []ratelimit.Report {
 	var reports []ratelimit.Report
 	c.do(func() { reports = c.limits.Reports(limits, ends, time.Now()) })
 	return reports
 }
 
-// mergeLimits records the limits that another daemon has told of and reports whether any
+// mergeLimits records the limits that another daemon has sent and reports whether any
 // has changed.
 func (c *coordinator) mergeLimits(reports []ratelimit.Report) (changed bool) {
 	if len(reports) > 0 {
@@ -138,13 +138,13 @@
 func (p *peers) mergeLimits(remote *peerpb.MeshState) {
 	reports := decodeLimits(remote)
 	if p.gateway.coordinator.mergeLimits(reports) {
-		p.gateway.log.Info("targets have changed their rate limits", "told", len(reports), "source", "peer")
+		p.gateway.log.Info("targets have changed their rate limits", "reported", len(reports), "source", "peer")
 	}
 }
 
 // Rank implements [ratelimit.Fleet]. Silent daemons count: in a large fleet each daemon
 // takes others for silent at times, and if each divided a limit among those that it has
-// just heard of, the sum of all shares would exceed the limit.
+// just received heartbeats of, the sum of all shares would exceed the limit.
 func (p *peers) Rank(key uint64) (above, known int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/target_limit_test.go
+++ b/internal/gateway/target_limit_test.go
@@ -69,14 +69,14 @@
 	return outcomes
 }
 
-// mustKeepLimit fails the test if a window that begins newsTimeout after the first naming
+// mustKeepLimit fails the test if a window that begins spreadTimeout after the first naming
 // has more requests than the users allow.
 func mustKeepLimit(t *testing.T, engine *standin.Target, perSecond float64, namedAt time.Time) {
 	t.Helper()
 	allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitExtra
 	times := engine.ArrivalTimes()
 	for i, from := range times {
-		if from.Sub(namedAt) < newsTimeout {
+		if from.Sub(namedAt) < spreadTimeout {
 			continue
 		}
 		count := 0
@@ -89,8 +89,8 @@
 	}
 }
 
-// limitTestTime covers a whole window after the time in which daemons hear of a limit.
-const limitTestTime = newsTimeout + limitWindow + time.Second
+// limitTestTime covers a whole window after the time in which daemons receive a limit.
+const limitTestTime = spreadTimeout + limitWindow + time.Second
 
 // An engine that names a limit got as many requests as before.
 func TestLimitThatATargetNamesIsKept(t *testing.T) {
@@ -156,7 +156,7 @@
 }
 
 // On 295 hosts two targets got 21 and 18 requests in 4 s, where 19 and 17 were allowed:
-// each host divided their limits among the hosts that it had just heard of.
+// each host divided their limits among the hosts of which it had just received heartbeats.
 func TestSilentDaemonsKeepTheirSharesOfLimits(t *testing.T) {
 	const others = 40
 	f, _, _ := newFixture(t)
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -137,7 +137,7 @@
 }
 
 // recordStoreReturnOfPeer does the same for a return that a peer has noticed, unless it
-// is known: peers tell of each return for a while.
+// is known: peers report each return for a while.
 func (l *targetList) recordStoreReturnOfPeer(at time.Time) {
 	l.mu.Lock()
 	known := at.Sub(l.storeReturnedAt) < sameStoreReturn
@@ -160,7 +160,7 @@
 	return age, !l.storeReturnedAt.IsZero() && age < storeReturnLifetime
 }
 
-// storeReturnLifetime is how long daemons tell each other of a return of the store.
+// storeReturnLifetime is how long daemons report a return of the store.
 const storeReturnLifetime = 4 * time.Second
 
 // replaceFromStore replaces the list with a full list of the store as of a revision. It
@@ -229,7 +229,7 @@
 	restored := update == targetview.Restored
 	l.gateway.coordinator.replaceTargets(l.decodeTargets(list), restored)
 	l.gateway.log.Warn("target list loaded", "source", source, "entries", len(list), "era", revision.Era, "revision", revision.Number, "restored", restored)
-	l.gateway.peers.spreadNews()
+	l.gateway.peers.startRoundSoon()
 }
 
 // forwardChanges passes changes on to the coordinator: only the last one of each
@@ -262,7 +262,7 @@
 	}
 	l.gateway.coordinator.applyTargetChanges(targets, removed)
 	l.logChanges(targets, removed, until)
-	l.gateway.peers.spreadNews()
+	l.gateway.peers.startRoundSoon()
 }
 
 // logChanges logs changes in one line: a line for each target would be as many lines as
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -32,7 +32,7 @@
 
 // A target says in its answers that it leaves, before the platform's list does. From
 // the first such answer on it must get no new requests, from other daemons neither once
-// they have heard of it.
+// they have received it.
 func TestTargetThatSaysThatItLeavesGetsNoMoreRequests(t *testing.T) {
 	f, _, desks := newFixture(t)
 	second := f.startPeer(f.store.Address())
@@ -361,7 +361,7 @@
 }
 
 // Entries of live targets expire while the store is away, and the first lists after its
-// return lack them. A daemon that is told of the list by a peer must keep them as well
+// return lack them. A daemon that receives the list from a peer must keep them as well
 // until they had time to be written again.
 func TestDaemonWithoutStoreKeepsLapsedTargets(t *testing.T) {
 	f, _, desks := newFixture(t)
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -12,9 +12,9 @@
 
 // Bounds that the users set.
 const (
-	// newsTimeout is how long all daemons may take to hear of a fact about a target or a
+	// spreadTimeout is how long all daemons may take to receive a fact about a target or a
 	// prompt. Only daemons that were not disturbed for so long count.
-	newsTimeout = 3 * time.Second
+	spreadTimeout = 3 * time.Second
 	// crashesBeforeHold is the number of crashes under a part after which daemons must
 	// know it, and maxRequestsAfterHold how many requests may reach engines after that.
 	crashesBeforeHold    = 5
@@ -116,7 +116,7 @@
 	if len(crashedAt) <= crashesBeforeHold || !s.undisturbedSince(startedAt) {
 		return
 	}
-	knownBy := crashedAt[crashesBeforeHold-1].Add(newsTimeout)
+	knownBy := crashedAt[crashesBeforeHold-1].Add(spreadTimeout)
 	late := 0
 	for _, at := range crashedAt {
 		if at.After(knownBy) {
@@ -124,7 +124,7 @@
 		}
 	}
 	if late > maxRequestsAfterHold {
-		s.addViolation(fmt.Sprintf("%d targets crashed under %s more than %s after crash %d", late, name, newsTimeout, crashesBeforeHold))
+		s.addViolation(fmt.Sprintf("%d targets crashed under %s more than %s after crash %d", late, name, spreadTimeout, crashesBeforeHold))
 	}
 }
 
@@ -155,7 +155,7 @@
 	perSecond := float64(2 + s.randomInt(7))
 	limited.SetLimit(perSecond)
 	namedAt := time.Now()
-	time.Sleep(newsTimeout + limitWindow)
+	time.Sleep(spreadTimeout + limitWindow)
 	end := time.Now()
 	limited.SetLimit(0)
 	if !s.undisturbedSince(namedAt) {
--- a/internal/state/fleet/target.go
+++ b/internal/state/fleet/target.go
@@ -29,8 +29,8 @@
 		t.SoftwareVersion == other.SoftwareVersion
 }
 
-// IncarnationHash returns a short name of the incarnation, by which daemons tell each
-// other of it. Of 4,800 targets two share a hash in one of 370 fleets.
+// IncarnationHash returns a short name of the incarnation, which daemons send each
+// other. Of 4,800 targets two share a hash in one of 370 fleets.
 func (t *Target) IncarnationHash() uint32 {
 	return uint32(xxhash.Sum64String(t.ID + "\x00" + t.Address + "\x00" + strconv.FormatInt(t.StartedMS, 10)))
 }
--- a/internal/state/revision/revision.go
+++ b/internal/state/revision/revision.go
@@ -106,7 +106,7 @@
 		e.Environment, e.Present, e.Seen, Describe(e.Winner))
 }
 
-// Describe returns a text that tells who wrote a version, when, and from which
+// Describe returns a text that says who wrote a version, when, and from which
 // source.
 func Describe(revision platform.Revision) string {
 	if revision.Attempt == "" {
