--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -183,6 +183,9 @@
 	if service == writersService {
 		added.SoftwareVersion = fmt.Sprint("v", 1+s.releases)
 	}
+	for _, cause := range s.armed {
+		cause.arm(added)
+	}
 	s.targets = append(s.targets, added)
 	s.liveTargets = append(s.liveTargets, added)
 	s.store.Put(platform.KindTargets, id, added.Spec(service, "north", "ready"))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,10 +80,10 @@
 	liveTargets     []*target // those that faults may choose
 	documentVersion int
 	violations      []string
-	disturbedAt     time.Time // when a daemon was last down or suspended
-	fatalParts      int       // parts that have crashed engines
-	fatalRequests   int       // requests that have crashed targets
-	releases        int       // of the engines' software
+	disturbedAt     time.Time    // when a daemon was last down or suspended
+	fatalNames      int          // names of fatal causes given out
+	armed           []fatalCause // on which targets crash at present
+	releases        int          // of the engines' software
 }
 
 // startSoakRun starts the fleet and waits until every daemon has started.
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -49,13 +49,6 @@
 	return s.disturbedAt.Before(at)
 }
 
-// allLiveTargets returns the targets that faults may choose.
-func (s *soakRun) allLiveTargets() []*target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.liveTargets)
-}
-
 // Figures of requests that crash targets.
 const (
 	fatalRequests        = 40
@@ -64,73 +57,106 @@
 
 // crashOnPart sends requests with a part of prompts that crashes engines.
 func (s *soakRun) crashOnPart() {
-	s.mu.Lock()
-	s.fatalParts++
-	part := fmt.Sprint("fatal-", s.fatalParts)
-	s.mu.Unlock()
-	s.crashTargets(part, crashesBeforeHold, func(target *target) { target.CrashOnPart(part) }, func(i int) requestKind {
-		return requestKind{path: "/queries/1", stream: true, sharedParts: fmt.Sprintf("aa:100,%s:50,bb-%d:200", part, i%3)}
+	part := s.nextFatalName()
+	s.crashTargets(fatalCause{
+		name: part, crashesBeforeHold: crashesBeforeHold,
+		arm: func(target *target) { target.CrashOnPart(part) },
+		request: func(i int) requestKind {
+			return requestKind{path: "/queries/1", stream: true, sharedParts: fmt.Sprintf("aa:100,%s:50,bb-%d:200", part, i%3)}
+		},
+		matches: func(run *standin.Execution) bool { return run.HasPart(part) },
 	})
-	for _, target := range s.allLiveTargets() {
-		target.CrashOnPart("")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, target := range s.targets {
+		target.SurvivePart(part)
 	}
 }
 
 // crashOnRequest repeats a request that crashes targets.
 func (s *soakRun) crashOnRequest() {
-	s.mu.Lock()
-	s.fatalRequests++
-	name := fmt.Sprint("fatal-request-", s.fatalRequests)
-	s.mu.Unlock()
+	name := s.nextFatalName()
 	kind := requestKinds[s.randomInt(len(requestKinds))]
 	kind.body = name
 	fatal := standin.FatalRequest{
 		Method: http.MethodPost, Path: kind.path, Body: name, Point: standin.CrashPoint(s.randomInt(3)),
 		Delay: s.randomDuration(maxCrashDelay), Reset: s.randomInt(2) == 0,
 	}
-	s.crashTargets(name, crashesBeforeRequestHold, func(target *target) { target.CrashOnRequest(fatal) }, func(int) requestKind { return kind })
+	s.crashTargets(fatalCause{
+		name: name, crashesBeforeHold: crashesBeforeRequestHold,
+		arm:     func(target *target) { target.CrashOnRequest(fatal) },
+		request: func(int) requestKind { return kind },
+		matches: func(run *standin.Execution) bool { return run.Body == name },
+	})
+}
+
+// fatalCause is what crashes targets: a part of prompts or a whole request.
+type fatalCause struct {
+	name              string
+	crashesBeforeHold int                               // after so many daemons must know it
+	arm               func(*target)                     // makes a target crash on it
+	request           func(i int) requestKind           // the request number i with it
+	matches           func(run *standin.Execution) bool // whether a target ran such a request
+}
+
+// nextFatalName returns a new name of a fatal cause.
+func (s *soakRun) nextFatalName() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fatalNames++
+	return fmt.Sprint("fatal-", s.fatalNames)
 }
 
 // crashTargets sends requests that crash targets, and replaces these, for so long that all
-// daemons must hold such requests back after a number of crashes.
-func (s *soakRun) crashTargets(name string, crashesBeforeHold int, arm func(*target), kind func(i int) requestKind) {
+// daemons must hold such requests back. Each run of such a request crashes its target.
+func (s *soakRun) crashTargets(cause fatalCause) {
 	sender := newCaller(callerCount+1, uint64(s.randomInt(1<<30)), s.daemons)
 	s.mu.Lock()
 	s.callers = append(s.callers, sender)
+	s.armed = append(s.armed, cause)
+	for _, target := range s.targets {
+		cause.arm(target)
+	}
 	s.mu.Unlock()
 	startedAt := time.Now()
-	var crashedAt []time.Time
 	for i := range fatalRequests {
-		for _, target := range s.allLiveTargets() {
-			arm(target)
-		}
 		daemon := s.randomDaemon()
 		if address := daemon.currentCallerAddress(); address != "" {
-			sender.send(address, kind(i), fmt.Sprintf("%s-%d", name, i))
-		}
-		for range s.replaceCrashed() {
-			crashedAt = append(crashedAt, time.Now())
+			sender.send(address, cause.request(i), fmt.Sprintf("%s-%d", cause.name, i))
 		}
+		s.replaceCrashed()
 		time.Sleep(fatalRequestInterval)
 	}
-	if len(crashedAt) <= crashesBeforeHold || !s.undisturbedSince(startedAt) {
+	undisturbed := s.undisturbedSince(startedAt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = slices.DeleteFunc(s.armed, func(other fatalCause) bool { return other.name == cause.name })
+	var runs []time.Time
+	for _, target := range s.targets {
+		for _, run := range target.Executions() {
+			if cause.matches(run) {
+				runs = append(runs, run.StartedAt)
+			}
+		}
+	}
+	if len(runs) <= cause.crashesBeforeHold || !undisturbed {
 		return
 	}
-	knownBy := crashedAt[crashesBeforeHold-1].Add(spreadTimeout)
+	slices.SortFunc(runs, time.Time.Compare)
+	knownBy := runs[cause.crashesBeforeHold-1].Add(maxCrashDelay + spreadTimeout)
 	late := 0
-	for _, at := range crashedAt {
+	for _, at := range runs {
 		if at.After(knownBy) {
 			late++
 		}
 	}
 	if late > maxRequestsAfterHold {
-		s.addViolation(fmt.Sprintf("%d targets crashed under %s more than %s after crash %d", late, name, spreadTimeout, crashesBeforeHold))
+		s.violations = append(s.violations, fmt.Sprintf("%d runs of %s more than %s after crash %d", late, cause.name, spreadTimeout, cause.crashesBeforeHold))
 	}
 }
 
-// replaceCrashed replaces the live engines that have crashed by themselves and returns
-// them.
-func (s *soakRun) replaceCrashed() []*target {
+// replaceCrashed replaces the live targets that have crashed by themselves.
+func (s *soakRun) replaceCrashed() {
 	s.mu.Lock()
 	var crashed, live []*target
 	for _, target := range s.liveTargets {
@@ -146,7 +172,6 @@
 		s.store.Delete(platform.KindTargets, target.ID)
 		s.addTarget(target.service)
 	}
-	return crashed
 }
 
 // limitTarget makes a random target name a limit for long enough to count requests.
