--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -26,7 +26,7 @@
 	target.queue = append(target.queue, tracked)
 	c.enginesWithQueue[target] = true
 	decisions := c.processQueue(target, now)
-	if len(target.queue) > target.service.queueLength+target.unusedCapacity() {
+	if len(target.queue) > target.queueLimit() {
 		decisions = append(decisions, c.evictOne(target))
 	}
 	for i, decision := range decisions {
@@ -237,6 +237,17 @@
 // loadPropagationDelay is how long the counts of other home daemons take to arrive.
 const loadPropagationDelay = 2 * time.Second
 
+// queueLimit returns how many requests may wait for the engine. When many callers begin at
+// once on an idle service, the counts of other homes arrive up to loadPropagationDelay later.
+// Until then the mean, and with it the limit of each engine, is too low, and requests collect at
+// the last engine that each of them may try. What the service has capacity for waits there
+// until the limit rises or another engine has room; a request whose deadline is too near is
+// refused all the same.
+func (e *engine) queueLimit() int {
+	unusedInService := int(e.service.effectiveCapacity) - e.service.load
+	return e.service.queueLength + max(e.unusedCapacity(), unusedInService)
+}
+
 // unusedCapacity returns how many more requests the engine has the capacity to run.
 // When the load of an idle service rises, that many requests may be queued until
 // the counts of the other home daemons arrive, which raise the admission limit.
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -158,3 +158,38 @@
 	}
 	must.Between(t, 2.5, float64(deskRunning)/float64(surgeRunning), 3.5)
 }
+
+// A trace of TestLoadBoundHoldsDuringHomeDaemonFailure/killed: 30 callers begin at once on an
+// idle service of 64 slots. The counts of other homes are on their way, and one of the
+// requests that have nowhere else to go is refused, as the queue of its engine is full.
+func TestBurstOnAnIdleServiceWaitsForCounts(t *testing.T) {
+	h := newHarness(t, testDocument("", 16, 16, 8, 24))
+	waiting := 0
+	for range 14 {
+		decision := h.admit(Request{Engine: "e3", LastResort: true})
+		must.NotEq(t, Refused, decision.Outcome, must.Sprint("refused while most slots are free"))
+		if decision.Outcome == Queued {
+			waiting++
+		}
+	}
+	h.mergePeerCounts("d2", 1, 1, 6, 6, 0, 8)
+	h.advance(time.Second)
+	started := 0
+	for _, decision := range h.finalDecisions {
+		must.Eq(t, Admitted, decision.Outcome)
+		started++
+	}
+	must.Positive(t, started)
+	must.Less(t, waiting, started, must.Sprint("all start at once, beyond the load bound"))
+}
+
+// A busy service keeps no longer queue than it is set to.
+func TestQueueOfABusyServiceIsShort(t *testing.T) {
+	h := newHarness(t, testDocument("", 4, 4))
+	h.mergePeerCounts("d2", 1, 1, 0, 4)
+	h.fill("e1", "w")
+	for range 3 {
+		must.Eq(t, Queued, h.admit(Request{Engine: "e1"}).Outcome)
+	}
+	must.Eq(t, refusal.EngineBusy, h.admit(Request{Engine: "e1"}).Refusal.Reason)
+}
