--- a/internal/gateway/query_of_death_test.go
+++ b/internal/gateway/query_of_death_test.go
@@ -33,7 +33,7 @@
 	sent    int // requests with the part
 }
 
-func newCrashingFleet(t *testing.T, daemons, engines int) *crashingFleet {
+func newCrashingFleet(t *testing.T, daemons, engines int, point standin.CrashPoint) *crashingFleet {
 	f, writers, _ := newFixture(t)
 	fleet := &crashingFleet{t: t, daemons: []*testFixture{f}, engines: writers[:]}
 	for len(fleet.daemons) < daemons {
@@ -43,7 +43,7 @@
 		fleet.engines = append(fleet.engines, f.addTarget(fmt.Sprint("writer-", i), "writers", true))
 	}
 	for _, engine := range fleet.engines {
-		engine.CrashOnPart(fatalPart)
+		engine.CrashOnPart(fatalPart, point)
 	}
 	for _, daemon := range fleet.daemons {
 		daemon.eventually(func() bool { return daemon.rosterSize() == engines+2 })
@@ -70,6 +70,7 @@
 	response, err := daemon.client.Do(daemon.newRequest(standin.CallerRequest{
 		Method: "POST", Path: "/queries/1", ID: fmt.Sprint("fatal-", c.sent),
 		SharedParts: fmt.Sprintf("aa:100,%s:50,s%d:200", fatalPart, c.sent%4),
+		Body:        fmt.Sprint("ask ", c.sent),
 	}))
 	if err != nil {
 		return 0
@@ -97,7 +98,19 @@
 // Incident inc1 on matsya-desk: requests with one part of a prompt crashed one engine after
 // another. Each daemon sent the next one to the next engine.
 func TestPartThatCrashesEnginesIsHeldBack(t *testing.T) {
-	fleet := newCrashingFleet(t, 3, 60)
+	checkFatalPart(t, standin.CrashAfterHead)
+}
+
+// Engines that crash on a part before they send anything may have crashed for another
+// cause, so the part needs more crashes, and each daemon counts them alone.
+func TestPartThatCrashesEnginesBeforeTheirAnswerIsHeldBack(t *testing.T) {
+	checkFatalPart(t, standin.CrashBeforeHead)
+}
+
+// checkFatalPart sends requests with the fatal part until all daemons hold it back, and
+// fails the test if they do not.
+func checkFatalPart(t *testing.T, point standin.CrashPoint) {
+	fleet := newCrashingFleet(t, 3, 60, point)
 	fleet.sendSound("before")
 	for fleet.crashes() < crashesBeforeHold && fleet.sent < 5*crashesBeforeHold {
 		fleet.sendFatal()
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -60,7 +60,7 @@
 	part := s.nextFatalName()
 	s.crashTargets(fatalCause{
 		name: part, crashesBeforeHold: crashesBeforeHold,
-		arm: func(target *target) { target.CrashOnPart(part) },
+		arm: func(target *target) { target.CrashOnPart(part, standin.CrashAfterHead) },
 		request: func(i int) requestKind {
 			return requestKind{path: "/queries/1", stream: true, sharedParts: fmt.Sprintf("aa:100,%s:50,bb-%d:200", part, i%3)}
 		},
