--- a/internal/gateway/target_limit_test.go
+++ b/internal/gateway/target_limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -115,7 +114,6 @@
 	}
 	namedAt := time.Now()
 	served := 0
-	var refusedAfter []time.Duration
 	for _, outcome := range sendFor(fleet, limitTestTime, 25*time.Millisecond) {
 		if outcome.status == http.StatusOK {
 			served++
@@ -123,11 +121,8 @@
 		}
 		must.Eq(t, http.StatusServiceUnavailable, outcome.status)
 		must.Greater(t, 0.0, outcome.retryAfter)
-		must.Less(t, time.Second, outcome.took, must.Sprint("a third of the time that callers have"))
-		refusedAfter = append(refusedAfter, outcome.took)
+		must.Less(t, 300*time.Millisecond, outcome.took, must.Sprint("the latency objective of the route"))
 	}
-	slices.Sort(refusedAfter)
-	must.Less(t, 300*time.Millisecond, refusedAfter[len(refusedAfter)/2], must.Sprint("the latency objective of the route"))
 	for _, engine := range engines {
 		mustKeepLimit(t, engine, perSecond, namedAt)
 	}
