--- a/cmd/hemlockknot-standin/main.go
+++ b/cmd/hemlockknot-standin/main.go
@@ -22,6 +22,9 @@
 	"hemlockknot/internal/standin/service"
 )
 
+// crashExitStatus is the exit status of an engine that --crash-on ends.
+const crashExitStatus = 3
+
 func main() {
 	app := kingpin.New("hemlockknot-standin", "Stand-ins for the platform, engines and services.")
 	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
@@ -34,6 +37,7 @@
 	engineCommand.Flag("token-time", "Time between tokens when the engine is idle.").Default("5ms").DurationVar(&config.TokenInterval)
 	engineCommand.Flag("prefill-time", "Time per 1,000 prompt tokens that are not cached.").Default("50ms").DurationVar(&config.PrefillTime)
 	engineCommand.Flag("load-lag", "Maximum age of the load report.").Default("500ms").DurationVar(&config.LoadReportAge)
+	crashOn := engineCommand.Flag("crash-on", "First user message of requests at which the process exits.").String()
 	engineCommand.Flag("tokens", "Tokens in an answer if the request sets no maximum.").Default("16").IntVar(&config.DefaultMaxTokens)
 
 	askCommand := app.Command("ask", "Send a chat request to a daemon and print the answer.")
@@ -54,6 +58,13 @@
 	case "service":
 		handler = service.New().Handler()
 	case "engine":
+		if *crashOn != "" {
+			config.OnChat = func(message string) {
+				if message == *crashOn {
+					os.Exit(crashExitStatus)
+				}
+			}
+		}
 		handler = engine.New(config).Handler()
 	}
 	exitOnError(serveHTTP(*listen, handler))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -26,6 +26,8 @@
 	PrefillTime      time.Duration // per 1,000 uncached prompt tokens
 	LoadReportAge    time.Duration // maximum age of the load report
 	DefaultMaxTokens int           // number of tokens generated if the request sets no max_tokens
+	// OnChat is called with the first user message of each request that starts; nil: not.
+	OnChat func(firstUserMessage string)
 }
 
 // Fault holds the faults to inject. The zero value injects none.
@@ -152,6 +154,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.config.OnChat != nil {
+		s.config.OnChat(stream.record.FirstUserMessage)
+	}
 	if body.Stream {
 		s.writeStream(w, r, stream, 0)
 		return
