--- a/internal/gateway/fatal_request_test.go
+++ b/internal/gateway/fatal_request_test.go
@@ -24,46 +24,19 @@
 	maxRunsAfterVerdict = 3
 )
 
-// fatalRequestFleet is daemons before targets of one service that crash on one request.
+// fatalRequestFleet is a fleet whose targets crash on one request.
 type fatalRequestFleet struct {
-	t       *testing.T
-	daemons []*testFixture
-	targets []*standin.Target
-	fatal   standin.FatalRequest
-	sent    int // repetitions of the request
+	*crashingFleet
+	fatal standin.FatalRequest
 }
 
 func newFatalRequestFleet(t *testing.T, daemons, targets int, fatal standin.FatalRequest) *fatalRequestFleet {
-	f, writers, desks := newFixture(t)
-	fleet := &fatalRequestFleet{t: t, daemons: []*testFixture{f}, targets: desks[:], fatal: fatal}
-	service, streams := "desk", strings.HasPrefix(fatal.Path, "/drafts/") || strings.HasPrefix(fatal.Path, "/queries/")
-	if streams {
-		service, fleet.targets = "writers", writers[:]
+	service := "desk"
+	if strings.HasPrefix(fatal.Path, "/drafts/") || strings.HasPrefix(fatal.Path, "/queries/") {
+		service = "writers"
 	}
-	for len(fleet.daemons) < daemons {
-		fleet.daemons = append(fleet.daemons, f.startPeer(f.store.Address()))
-	}
-	for i := len(fleet.targets); i < targets; i++ {
-		fleet.targets = append(fleet.targets, f.addTarget(fmt.Sprint(service, "-", i), service, streams))
-	}
-	for _, target := range fleet.targets {
-		target.CrashOnRequest(fatal)
-	}
-	for _, daemon := range fleet.daemons {
-		daemon.eventually(func() bool { return daemon.rosterSize() == targets+2 })
-	}
-	return fleet
-}
-
-// crashes returns the number of targets that have crashed.
-func (c *fatalRequestFleet) crashes() int {
-	count := 0
-	for _, target := range c.targets {
-		if target.Crashed() {
-			count++
-		}
-	}
-	return count
+	fleet := newCrashingFleet(t, daemons, targets, service, func(target *standin.Target) { target.CrashOnRequest(fatal) })
+	return &fatalRequestFleet{crashingFleet: fleet, fatal: fatal}
 }
 
 // removeCrashed removes the entries of crashed targets, as the platform does after a while,
--- a/internal/gateway/query_of_death_test.go
+++ b/internal/gateway/query_of_death_test.go
@@ -25,37 +25,42 @@
 // fatalPart is the part on which the engines of these tests crash.
 const fatalPart = "dead"
 
-// crashingFleet is daemons before engines that crash on fatalPart.
+// crashingFleet is daemons before targets of one service that crash on some requests.
 type crashingFleet struct {
 	t       *testing.T
 	daemons []*testFixture
-	engines []*standin.Target
-	sent    int // requests with the part
+	targets []*standin.Target
+	sent    int // requests that crash targets
 }
 
-func newCrashingFleet(t *testing.T, daemons, engines int, point standin.CrashPoint) *crashingFleet {
-	f, writers, _ := newFixture(t)
-	fleet := &crashingFleet{t: t, daemons: []*testFixture{f}, engines: writers[:]}
+// newCrashingFleet starts daemons and targets of a service, "writers" or "desk", and arms
+// each target.
+func newCrashingFleet(t *testing.T, daemons, targets int, service string, arm func(*standin.Target)) *crashingFleet {
+	f, writers, desks := newFixture(t)
+	fleet := &crashingFleet{t: t, daemons: []*testFixture{f}, targets: desks[:]}
+	if service == "writers" {
+		fleet.targets = writers[:]
+	}
 	for len(fleet.daemons) < daemons {
 		fleet.daemons = append(fleet.daemons, f.startPeer(f.store.Address()))
 	}
-	for i := len(fleet.engines); i < engines; i++ {
-		fleet.engines = append(fleet.engines, f.addTarget(fmt.Sprint("writer-", i), "writers", true))
+	for i := len(fleet.targets); i < targets; i++ {
+		fleet.targets = append(fleet.targets, f.addTarget(fmt.Sprint(service, "-", i), service, service == "writers"))
 	}
-	for _, engine := range fleet.engines {
-		engine.CrashOnPart(fatalPart, point)
+	for _, target := range fleet.targets {
+		arm(target)
 	}
 	for _, daemon := range fleet.daemons {
-		daemon.eventually(func() bool { return daemon.rosterSize() == engines+2 })
+		daemon.eventually(func() bool { return daemon.rosterSize() == targets+2 })
 	}
 	return fleet
 }
 
-// crashes returns the number of engines that have crashed.
+// crashes returns the number of targets that have crashed.
 func (c *crashingFleet) crashes() int {
 	count := 0
-	for _, engine := range c.engines {
-		if engine.Crashed() {
+	for _, target := range c.targets {
+		if target.Crashed() {
 			count++
 		}
 	}
@@ -110,7 +115,7 @@
 // checkFatalPart sends requests with the fatal part until all daemons hold it back, and
 // fails the test if they do not.
 func checkFatalPart(t *testing.T, point standin.CrashPoint) {
-	fleet := newCrashingFleet(t, 3, 60, point)
+	fleet := newCrashingFleet(t, 3, 60, "writers", func(engine *standin.Target) { engine.CrashOnPart(fatalPart, point) })
 	fleet.sendSound("before")
 	for fleet.crashes() < crashesBeforeHold && fleet.sent < 5*crashesBeforeHold {
 		fleet.sendFatal()
