Soak: two faults do not limit one target at the same time

Three faults that set limits overlapped; the end of one ended the limit that another was counting. A fault now takes a target that no other one limits; the bound is the same.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,15 +80,16 @@
 	liveTargets     []*target // those that faults may choose
 	documentVersion int
 	violations      []string
-	disturbedAt     time.Time    // when a daemon was last down or suspended
-	fatalNames      int          // names of fatal causes given out
-	armed           []fatalCause // on which targets crash at present
-	releases        int          // of the engines' software
+	disturbedAt     time.Time        // when a daemon was last down or suspended
+	fatalNames      int              // names of fatal causes given out
+	armed           []fatalCause     // on which targets crash at present
+	limited         map[*target]bool // targets that a fault makes name a limit
+	releases        int              // of the engines' software
 }
 
 // startSoakRun starts the fleet and waits until every daemon has started.
 func startSoakRun(t *testing.T, seed uint64) *soakRun {
-	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0))}
+	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0)), limited: make(map[*target]bool)}
 	t.Cleanup(s.store.Close)
 	s.publishDocument()
 	for range targetsPerService {
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -174,9 +174,31 @@
 	}
 }
 
+// takeUnlimitedTarget returns a random target for which no other fault has set a limit, nil
+// if there is none. The end of one fault would end the limit of another one.
+func (s *soakRun) takeUnlimitedTarget() *target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unlimited := slices.DeleteFunc(slices.Clone(s.liveTargets), func(target *target) bool { return s.limited[target] })
+	if len(unlimited) == 0 {
+		return nil
+	}
+	taken := unlimited[s.random.IntN(len(unlimited))]
+	s.limited[taken] = true
+	return taken
+}
+
 // limitTarget makes a random target name a limit for long enough to count requests.
 func (s *soakRun) limitTarget() {
-	limited := s.randomTarget()
+	limited := s.takeUnlimitedTarget()
+	if limited == nil {
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.limited, limited)
+	}()
 	perSecond := float64(2 + s.randomInt(7))
 	limited.SetLimit(perSecond)
 	namedAt := time.Now()
