--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -7,9 +7,9 @@
 // one that served it has crashed.
 //
 // A daemon keeps the origins of its own streams. While several versions of a service serve,
-// it copies each of them to a few other daemons, and when a second version appears it copies those of
-// the streams before. The copies are found by the id of the request that brought the stream's
-// first event. A stream whose origin is not found does not go on while there may be another
+// it copies each of them to a few other daemons, and when a second version appears it copies
+// those of the streams before. The copies are found by the id of the request that brought the
+// stream's first event. A stream whose origin is not found does not go on while there may be another
 // version: a refusal costs its caller less than events that do not fit.
 package origin
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -33,7 +33,8 @@
 	remoteDomainPenalty = 2.0
 	// tieSpread is the range, in requests, of the random part that is added to the load
 	// of a target. It decides only among targets of the same load: those of which
-	// nothing is known, as in a large fleet, where each daemon rarely receives the load of a target.
+	// nothing is known, as in a large fleet, where each daemon rarely receives the load of a
+	// target.
 	// Without it all daemons of a failure domain would choose the same one of them.
 	tieSpread = 0.01
 	// warmUpTime is how long after an engine's start the cached prompts of its
--- a/internal/coordination/placement/spread_test.go
+++ b/internal/coordination/placement/spread_test.go
@@ -73,9 +73,9 @@
 	return float64(rejected) / float64(all)
 }
 
-// In a burst, requests of a plain service come to many daemons, each of which receives the load of a
-// target every few seconds. A third of the slots are free. The users allow 3 in 100
-// requests to reach a target that is too full (their rule LIMIT).
+// In a burst, requests of a plain service come to many daemons, each of which receives the
+// load of a target every few seconds. A third of the slots are free. The users allow 3 in
+// 100 requests to reach a target that is too full (their rule LIMIT).
 func TestPlainRequestsOfALargeFleetAreSpread(t *testing.T) {
 	for _, daemons := range []int{9, 72, 295} {
 		for seed := range uint64(3) {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -38,14 +38,15 @@
 
 // Thresholds and limits.
 const (
-	// A part is held back when the weights of the crashes that implicate it reach holdWeight.
-	// Three crashes with strong evidence suffice; the users expect it after five. Many more
-	// with weak evidence may be a coincidence: while engines crash for other causes, the rare requests of a
-	// session may wait at one engine after another that crashes.
+	// A feature is held back when the weights of the crashes that implicate it reach
+	// holdWeight. Three crashes with strong evidence suffice: the users expect a request to be
+	// held back after three, and a part after five. Many more with weak evidence may be a
+	// coincidence: while engines crash for other causes, the rare requests of a session may
+	// wait at one engine after another that crashes.
 	strongWeight = 5
 	weakWeight   = 1
 	holdWeight   = 15
-	// usualCrashes is how many crashes it usually takes until a part is held back.
+	// usualCrashes is how many crashes it usually takes until a feature is held back.
 	usualCrashes = 3
 	// crashLifetime is how long a daemon keeps a crash that implicates no held part. A daemon
 	// that starts may receive an old crash before it knows that others hold a part back
@@ -114,7 +115,8 @@
 	For       time.Duration // until the next trial
 }
 
-// Tracker tracks crashes and the features that they implicate. It is not safe for concurrent use.
+// Tracker tracks crashes and the features that they implicate. It is not safe for concurrent
+// use.
 type Tracker struct {
 	crashes   map[uint32]*crash // by the hash of the engine's incarnation
 	held      []*hold           // whole requests first, then the most specific parts
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -136,8 +136,9 @@
 }
 
 // leaveToPeers waits until this daemon has received a long list from a peer, may read
-// no stale list any more, or has waited for long enough. If all daemons of a large fleet read it when they start
-// together, the store's link is full for seconds, all reads stall, and all are repeated.
+// no stale list any more, or has waited for long enough. If all daemons of a large fleet
+// read it when they start together, the store's link is full for seconds, all reads stall,
+// and all are repeated.
 func (w *watcher) leaveToPeers(ctx context.Context) {
 	w.listed = true // the next list is whole
 	wait := minPeerWait + rand.N(maxPeerWait-minPeerWait)
