--- a/internal/gateway/cutoff.go
+++ b/internal/gateway/cutoff.go
@@ -63,7 +63,7 @@
 	var dials sync.WaitGroup
 	for _, target := range targets[:min(verifyDials, len(targets))] {
 		dials.Go(func() {
-			if reachable(target, verifyTimeout) {
+			if g.reachable(target, verifyTimeout) {
 				responded.Store(true)
 			}
 		})
@@ -107,7 +107,7 @@
 		case <-time.After(delay):
 		}
 		targets := g.coordinator.domainTargets(domain)
-		if len(targets) == 0 || reachable(targets[rand.IntN(len(targets))], exchange.DialTimeout) {
+		if len(targets) == 0 || g.reachable(targets[rand.IntN(len(targets))], exchange.DialTimeout) {
 			g.coordinator.markDomainReachable(domain)
 			g.log.Warn("failure domain is reachable again", "domain", domain, "after_ms", time.Since(started).Milliseconds())
 			return
@@ -117,8 +117,10 @@
 
 // reachable reports whether a target responds to a new connection within the timeout.
 // Any error other than a timeout, such as a refused connection, counts as a response.
-func reachable(target *fleet.Target, timeout time.Duration) bool {
-	conn, err := net.DialTimeout("tcp", target.Address, timeout)
+func (g *Gateway) reachable(target *fleet.Target, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := g.pool.Dial(ctx, target.Address)
 	if err != nil {
 		var netErr net.Error
 		return !errors.As(err, &netErr) || !netErr.Timeout()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -51,6 +51,8 @@
 	grace        time.Duration // grace period of the daemon's stop
 	peersStarted int           // number of daemons started by startPeer
 	retryExtra   float64       // retries of the fleet beyond the ratio
+	// dialTarget replaces the way in which the daemon opens connections to targets; nil: TCP.
+	dialTarget func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // defaultRetryExtra is the fixture's retryExtra: a daemon gets an eighth of it.
@@ -94,8 +96,13 @@
 // startPeer starts another daemon, which has the first one as its seed, and waits until
 // it is ready. Its store may differ from the first one's or be unreachable.
 func (f *testFixture) startPeer(storeAddress string) *testFixture {
+	return f.startPeerWith(storeAddress, nil)
+}
+
+// startPeerWith is startPeer with another way to open connections to targets.
+func (f *testFixture) startPeerWith(storeAddress string, dialTarget func(context.Context, string) (net.Conn, error)) *testFixture {
 	f.peersStarted++
-	second := &testFixture{t: f.t, store: f.store, client: f.client, grace: f.grace, retryExtra: f.retryExtra}
+	second := &testFixture{t: f.t, store: f.store, client: f.client, grace: f.grace, retryExtra: f.retryExtra, dialTarget: dialTarget}
 	second.startReady(platform.Settings{Host: fmt.Sprint("front-", 1+f.peersStarted), StoreAddress: storeAddress, Seeds: []string{f.daemon.peerListener.Addr().String()}})
 	return second
 }
@@ -118,6 +125,9 @@
 	settings.RetryRatio, settings.RetryExtra, settings.RetryWindow = 0.2, f.retryExtra, 10*time.Second
 	daemon, err := New(settings, testLog{f.t})
 	must.NoError(f.t, err)
+	if f.dialTarget != nil {
+		daemon.pool.Dial = f.dialTarget
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.daemon, f.stop, f.stopped = daemon, stop, make(chan error, 1)
 	go func() { f.stopped <- daemon.Run(ctx, "") }()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -12,7 +13,6 @@
 	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/state/fleet"
-	"hemlockknot/internal/transport/exchange"
 )
 
 // crashesPerExchange is how many crashes of engines are sent in an exchange.
@@ -64,7 +64,7 @@
 	}
 	go func() {
 		g.metrics.countDial()
-		conn, err := net.DialTimeout("tcp", target.Address, exchange.DialTimeout)
+		conn, err := g.pool.Dial(context.Background(), target.Address)
 		requests := g.crashChecks.end(target.IncarnationHash())
 		if err == nil {
 			_ = conn.Close()
--- /dev/null
+++ b/internal/gateway/unreached_targets_test.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/platform"
+	"hemlockknot/platform/standin"
+)
+
+// linkedFleet is daemons before the same targets, each of which reaches these by a link that
+// a test can cut.
+type linkedFleet struct {
+	t       *testing.T
+	daemons []*testFixture
+	links   []*targetLink
+	targets []*standin.Target
+	sent    int
+}
+
+// Size of a linkedFleet.
+const (
+	linkedEngines = 6
+	linkedDesks   = 4
+)
+
+// newLinkedFleet starts daemons before engines and plain targets in two failure domains.
+func newLinkedFleet(t *testing.T, daemons int) *linkedFleet {
+	first := &testFixture{t: t, store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, grace: shortGrace, retryExtra: 20 * defaultRetryExtra}
+	t.Cleanup(first.store.Close)
+	first.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(1, standin.WorkspaceKey))
+	fleet := &linkedFleet{t: t}
+	domains := []string{"north", "south"}
+	for i := range linkedEngines {
+		fleet.addTarget(first, fmt.Sprint("writer-", i), "writers", domains[i%2], true)
+	}
+	for i := range linkedDesks {
+		fleet.addTarget(first, fmt.Sprint("desk-", i), "desk", domains[i%2], false)
+	}
+	for i := range daemons {
+		f := first
+		link := newTargetLink(first)
+		if i == 0 {
+			first.dialTarget = link.dial
+			first.start()
+		} else {
+			f = first.startPeerWith(first.store.Address(), link.dial)
+		}
+		fleet.daemons, fleet.links = append(fleet.daemons, f), append(fleet.links, link)
+	}
+	for _, daemon := range fleet.daemons {
+		daemon.eventually(func() bool { return daemon.daemon.peers.knownDaemons() == daemons })
+	}
+	return fleet
+}
+
+func (l *linkedFleet) addTarget(f *testFixture, id, service, domain string, streams bool) {
+	target := standin.NewTarget(id, streams)
+	f.t.Cleanup(target.Crash)
+	f.store.Put(platform.KindTargets, id, target.Spec(service, domain, "ready"))
+	l.targets = append(l.targets, target)
+}
+
+// cut sets the state of the links of the first count daemons.
+func (l *linkedFleet) cut(count int, state linkState) {
+	for _, link := range l.links[:count] {
+		link.set(state)
+	}
+}
+
+// served counts requests and those of them that were served completely.
+type served struct{ sent, served int }
+
+// kinds are the paths of the kinds of requests that callers mix.
+var kinds = []string{"/drafts/1", "/queries/1", "/bookings/1", "/reads/1"}
+
+// callInterval is the time between two requests to one daemon.
+const callInterval = 15 * time.Millisecond
+
+// callAll sends a mix of requests to each daemon for a time and returns what was served by
+// each at the first attempt.
+func (l *linkedFleet) callAll(duration time.Duration) []served {
+	results := make([]served, len(l.daemons))
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(callInterval) {
+		l.sent++
+		kind, number := kinds[l.sent%len(kinds)], l.sent
+		for i := range l.daemons {
+			calls.Go(func() {
+				complete := l.call(i, kind, fmt.Sprintf("mixed-%d-%d", i, number))
+				mu.Lock()
+				defer mu.Unlock()
+				results[i].sent++
+				if complete {
+					results[i].served++
+				}
+			})
+		}
+	}
+	calls.Wait()
+	return results
+}
+
+// call sends a request to a daemon and reports whether it was served completely.
+func (l *linkedFleet) call(daemon int, path, id string) bool {
+	response, err := l.daemons[daemon].client.Do(l.daemons[daemon].newRequest(standin.CallerRequest{Method: "POST", Path: path, ID: id, SharedParts: "aa:100," + id + ":20"}))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || standin.SigningTarget(response.Header) == "" {
+		return false
+	}
+	if path == "/drafts/1" || path == "/queries/1" {
+		return string(content) == standin.StreamText()
+	}
+	return string(content) == "answer to "+id
+}
+
+// noneRanTwice checks that no request ran twice that may run once only.
+func (l *linkedFleet) noneRanTwice() {
+	runs := make(map[string]int)
+	for _, target := range l.targets {
+		for _, run := range target.Executions() {
+			if run.URI == "/bookings/1" || run.URI == "/queries/1" {
+				runs[run.ID]++
+			}
+		}
+	}
+	for id, count := range runs {
+		must.Eq(l.t, 1, count, must.Sprint(id))
+	}
+}
+
+// recoverBound is the users' bound of RECOVER: hosts that are cut off from all targets serve
+// at least two thirds of what the others do, or fail 10 + 1 in 50 of all requests at most.
+func recoverBound(t *testing.T, results []served, cut int) {
+	var there, elsewhere served
+	for i, result := range results {
+		sum := &elsewhere
+		if i < cut {
+			sum = &there
+		}
+		sum.sent, sum.served = sum.sent+result.sent, sum.served+result.served
+	}
+	t.Log("served at the hosts that are cut off", there, "at the others", elsewhere)
+	failed := there.sent - there.served
+	share := func(s served) float64 { return float64(s.served) / float64(max(1, s.sent)) }
+	must.True(t, share(there) >= share(elsewhere)*2/3 || failed <= 10+(there.sent+elsewhere.sent)/50,
+		must.Sprint("served ", there, " at the hosts that are cut off, ", elsewhere, " at the others"))
+}
+
+// Incident inc1 of issue 28: hosts that were cut off from all targets served nothing, though
+// other hosts reached the targets.
+func TestHostThatReachesNoTargetServesThroughOthers(t *testing.T) {
+	cases := []struct {
+		name  string
+		state linkState
+		cut   int
+	}{
+		{"two of five, connections are reset", linkResets, 2},
+		{"two of five, connections are silent", linkSilent, 2},
+		{"two of five, only new connections are refused", linkRefusesNew, 2},
+		{"four of five, connections are reset", linkResets, 4},
+		{"four of five, connections are silent", linkSilent, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := newLinkedFleet(t, 5)
+			for i, result := range fleet.callAll(time.Second) {
+				must.Eq(t, result.sent, result.served, must.Sprint("daemon ", i, " before the cut"))
+			}
+			fleet.cut(c.cut, c.state)
+			_ = fleet.callAll(recoveryTimeout)
+			recoverBound(t, fleet.callAll(2*time.Second), c.cut)
+			fleet.cut(c.cut, linkUp)
+			_ = fleet.callAll(recoveryTimeout)
+			for i, result := range fleet.callAll(time.Second) {
+				must.Eq(t, result.sent, result.served, must.Sprint("daemon ", i, " after the heal"))
+			}
+			fleet.noneRanTwice()
+		})
+	}
+}
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -35,6 +35,8 @@
 	// OnDial is called before each attempt to open a connection. NewPool sets a
 	// function that does nothing.
 	OnDial func()
+	// Dial opens a connection to an address. NewPool sets a function that dials by TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the most recently used one last
@@ -44,10 +46,17 @@
 func NewPool() *Pool {
 	return &Pool{
 		OnDial: func() {},
+		Dial:   dialTCP,
 		idle:   make(map[string][]*conn),
 	}
 }
 
+// dialTCP opens a TCP connection that notices a host without power or network.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: DialTimeout, Control: socket.UserTimeoutControl(userTimeout)}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Run periodically closes connections that were idle for too long, until the context
 // ends.
 func (p *Pool) Run(ctx context.Context) {
@@ -89,8 +98,7 @@
 		_ = idle.Close()
 	}
 	p.OnDial()
-	dialer := net.Dialer{Timeout: DialTimeout, Control: socket.UserTimeoutControl(userTimeout)}
-	netConn, err := dialer.DialContext(ctx, "tcp", address)
+	netConn, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
