A daemon that reaches no target of a service forwards its requests to daemons that do

Cause: whether a target can be reached is a fact about a daemon and a target. It was treated as one about the target (ejection) or its failure domain (cut off), and there was one way to a target.

Now the package reach decides per service whether the daemon reaches it: connections to four targets fail, or all streams are silent, and more targets that are dialed then accept none. Such a daemon passes each request to another one by plain HTTP/1.1; the other one makes one attempt, and the first one decides on retries and resumption as for a target of its own. Entries of daemons say which services they don't reach. Probes end the state, and the ejections with it. A crash is recorded only if another target accepts a connection.

--- a/internal/coordination/attempt/attempt.go
+++ b/internal/coordination/attempt/attempt.go
@@ -68,6 +68,9 @@
 // SentAttempts returns the number of attempts that reached a target.
 func (r *Request) SentAttempts() int { return r.sentAttempts }
 
+// UnsentAttempts returns the number of attempts that did not reach a target.
+func (r *Request) UnsentAttempts() int { return r.unsentAttempts }
+
 // Decide returns what to do after an attempt. Remaining is the time until the
 // deadline. SpendRetry takes a retry from the service's budget, and reports whether
 // there was one. A retry after an attempt that reached no target takes none.
--- a/internal/coordination/cutoff/cutoff.go
+++ b/internal/coordination/cutoff/cutoff.go
@@ -19,6 +19,9 @@
 	// maxActiveEventAge is how old the last event of some other domain may be. If all
 	// domains are silent, this daemon itself was stalled.
 	maxActiveEventAge = 60 * time.Millisecond
+	// minServiceTargets is how many targets of a service must have streams that have begun.
+	// There is no other domain to compare with, so it takes more than for a domain.
+	minServiceTargets = 3
 	// minStreamingTargets is how many targets of the domain must have streams that have
 	// begun.
 	minStreamingTargets = 2
@@ -56,3 +59,22 @@
 	}
 	return false
 }
+
+// ServiceStreams summarizes the streams that this daemon receives from a service.
+type ServiceStreams struct {
+	Service   string
+	Targets   int       // engines with streams that have begun
+	LastEvent time.Time // as in DomainStreams
+}
+
+// SilentServices returns the services all of whose streams have become silent: this daemon
+// may be cut off from all their targets.
+func SilentServices(services []ServiceStreams, now time.Time) []string {
+	var silent []string
+	for _, s := range services {
+		if s.Targets >= minServiceTargets && now.Sub(s.LastEvent) >= silenceThreshold {
+			silent = append(silent, s.Service)
+		}
+	}
+	return silent
+}
--- a/internal/coordination/cutoff/cutoff_test.go
+++ b/internal/coordination/cutoff/cutoff_test.go
@@ -28,3 +28,11 @@
 		t.Run(c.name, func(t *testing.T) { must.Eq(t, c.silent, SilentDomains(c.domains, "north", now)) })
 	}
 }
+
+func TestSilentServices(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ago := func(milliseconds int) time.Time { return now.Add(-time.Duration(milliseconds) * time.Millisecond) }
+	must.Eq(t, []string{"silent"}, SilentServices([]ServiceStreams{
+		{"silent", 3, ago(150)}, {"active", 3, ago(20)}, {"two engines may be prefilling prompts", 2, ago(500)}, {"without streams", 0, ago(9000)},
+	}, now))
+}
--- a/internal/coordination/member/digest.go
+++ b/internal/coordination/member/digest.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,6 +35,8 @@
 		strconv.FormatUint(entry.GetIncarnation(), 10),
 		strconv.FormatBool(entry.GetLeaving()),
 		strconv.FormatBool(entry.GetPlatformAway()),
+		strconv.FormatUint(uint64(entry.GetForwardPort()), 10),
+		fmt.Sprint(entry.GetUnreachedServices()),
 	)
 	return uint32(hash)
 }
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -98,6 +98,12 @@
 	t.updateSelf(func(self *peerpb.Member) { self.PlatformAway = away })
 }
 
+// SetUnreachedServices records in this daemon's own entry of which services it reaches no
+// target: hashes of their names.
+func (t *Table) SetUnreachedServices(services []uint32) {
+	t.updateSelf(func(self *peerpb.Member) { self.UnreachedServices = services })
+}
+
 // updateSelf replaces the daemon's own entry by a changed copy with the next
 // heartbeat.
 func (t *Table) updateSelf(change func(self *peerpb.Member)) {
--- /dev/null
+++ b/internal/coordination/reach/reach.go
@@ -0,0 +1,97 @@
+// Package reach decides whether this daemon reaches the targets of a service. It is a state
+// machine without I/O or clock.
+//
+// Whether a target can be reached is a fact about a daemon and a target. A target that is
+// down fails for all daemons, and other targets of its service still answer. A daemon that is
+// cut off fails at all targets of a service, while other daemons reach them: it must say
+// nothing about the targets then, and can serve its callers through the other daemons.
+package reach
+
+import (
+	"slices"
+	"time"
+)
+
+// Evidence that no target of a service is reached.
+const (
+	// minTargets is how many targets of a service must refuse or not answer a connection,
+	// with no answer from any target of the service in between. In a smaller service all
+	// must.
+	minTargets = 4
+	// evidenceLifetime is how long a failed connection counts.
+	evidenceLifetime = 1500 * time.Millisecond
+)
+
+// Tracker tracks which services this daemon reaches. It is not safe for concurrent use.
+//
+// Invariant: a service that is not reached stays so until MarkReached is called.
+type Tracker struct {
+	failures  map[string]map[string]time.Time // by service and target: the last failed connection
+	unreached map[string]bool                 // by service
+}
+
+// New returns a tracker that takes all services to be reached.
+func New() *Tracker {
+	return &Tracker{failures: make(map[string]map[string]time.Time), unreached: make(map[string]bool)}
+}
+
+// RecordFailure records that no connection to a target could be opened. Count is the number
+// of targets of the service. It reports whether the service is suspected not to be reached:
+// connections to other targets of it must show that.
+func (t *Tracker) RecordFailure(service, target string, count int, now time.Time) bool {
+	failures := t.failures[service]
+	if failures == nil {
+		failures = make(map[string]time.Time)
+		t.failures[service] = failures
+	}
+	failures[target] = now
+	recent := 0
+	for id, failedAt := range failures {
+		if now.Sub(failedAt) >= evidenceLifetime {
+			delete(failures, id)
+			continue
+		}
+		recent++
+	}
+	return recent >= min(minTargets, count) && !t.unreached[service]
+}
+
+// Failed reports whether a target has failed since the last answer of its service.
+func (t *Tracker) Failed(service, target string) bool {
+	_, failed := t.failures[service][target]
+	return failed
+}
+
+// RecordAnswer records that a target of a service has answered, which discards the failures
+// before it. A service that is not reached stays so: the answer may have come on a connection
+// that outlived the path for new ones.
+func (t *Tracker) RecordAnswer(service string) { delete(t.failures, service) }
+
+// MarkUnreached records that no target of a service is reached, and reports whether this is
+// new.
+func (t *Tracker) MarkUnreached(service string) bool {
+	if t.unreached[service] {
+		return false
+	}
+	t.unreached[service] = true
+	return true
+}
+
+// MarkReached records that a target of a service has accepted a connection.
+func (t *Tracker) MarkReached(service string) {
+	delete(t.unreached, service)
+	delete(t.failures, service)
+}
+
+// Unreached reports whether no target of a service is reached.
+func (t *Tracker) Unreached(service string) bool { return t.unreached[service] }
+
+// UnreachedServices returns the services that are not reached, sorted.
+func (t *Tracker) UnreachedServices() []string {
+	var services []string
+	for service := range t.unreached {
+		services = append(services, service)
+	}
+	slices.Sort(services)
+	return services
+}
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"hemlockknot/internal/coordination/placement"
@@ -98,6 +99,21 @@
 	return choice
 }
 
+// hasUnreachedTarget reports whether a target is left out only because this daemon does not
+// reach it.
+func (c *coordinator) hasUnreachedTarget(req *relayedRequest) bool {
+	found := false
+	c.do(func() {
+		now := time.Now()
+		for _, target := range c.placement.Candidates(req.service) {
+			id := target.ID
+			found = found || !c.otherVersion(req, id) && !slices.Contains(req.sentTo, id) && !c.outlier.Refusing(id, now) && c.limitWait(id, now) == 0 &&
+				(c.outlier.Held(id) || req.triedTargets[id])
+		}
+	})
+	return found
+}
+
 // hasTarget reports whether there is a target for the request's next attempt.
 func (c *coordinator) hasTarget(req *relayedRequest) bool {
 	found := false
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -11,6 +11,7 @@
 	"hemlockknot/internal/coordination/placement"
 	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/coordination/ratelimit"
+	"hemlockknot/internal/coordination/reach"
 	"hemlockknot/internal/coordination/roster"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/fleet"
@@ -30,6 +31,7 @@
 	placement   *placement.Table
 	outlier     *outlier.Tracker
 	domains     *cutoff.Domains
+	reach       *reach.Tracker
 	ownDomain   string // failure domain of this daemon
 	promptReads *promptReads
 	quarantine  *quarantine.Tracker
@@ -67,6 +69,7 @@
 		placement:        placement.NewTable(domain, time.Now()),
 		outlier:          outlier.New(),
 		domains:          cutoff.NewDomains(),
+		reach:            reach.New(),
 		ownDomain:        domain,
 		promptReads:      newPromptReads(),
 		quarantine:       quarantine.New(),
--- a/internal/gateway/cutoff.go
+++ b/internal/gateway/cutoff.go
@@ -27,9 +27,9 @@
 	verifyDials = 2
 )
 
-// watchSilentDomains looks for failure domains whose streams are silent, until the
-// context ends.
-func (g *Gateway) watchSilentDomains(ctx context.Context) {
+// watchSilentStreams looks for failure domains and services whose streams are silent, until
+// the context ends.
+func (g *Gateway) watchSilentStreams(ctx context.Context) {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -41,6 +41,9 @@
 			for _, domain := range g.silentDomains(now) {
 				checks.Go(func() { g.verifySilentDomain(domain) })
 			}
+			for _, service := range g.silentServices(now) {
+				checks.Go(func() { g.verifySilentService(ctx, service) })
+			}
 			checks.Wait()
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	callerListener    net.Listener // for callers' requests
 	readinessListener net.Listener // for the platform's readiness checks
 	peerListener      net.Listener // for other daemons; nil if the settings name no address
+	forwardListener   net.Listener // for requests that other daemons pass on; nil without peerListener
+	forwards          *callerServer
+	peerPool          *exchange.Pool // connections to other daemons' forwardListeners
 	stopping          atomic.Bool
 	stopGrace         atomic.Int64 // time limit of a planned stop, in nanoseconds
 }
@@ -61,15 +64,20 @@
 	if err != nil {
 		return nil, errors.Join(err, callerListener.Close())
 	}
-	var peerListener net.Listener
+	var peerListener, forwardListener net.Listener
 	if settings.PeerListenAddress != "" {
 		if peerListener, err = listen("other daemons", settings.PeerListenAddress); err != nil {
 			return nil, errors.Join(err, callerListener.Close(), readinessListener.Close())
 		}
+		if forwardListener, err = listenForward(settings); err != nil {
+			return nil, errors.Join(err, callerListener.Close(), readinessListener.Close(), peerListener.Close())
+		}
 	}
 	g := &Gateway{
 		callerListener:    callerListener,
 		peerListener:      peerListener,
+		forwardListener:   forwardListener,
+		peerPool:          exchange.NewPool(),
 		readinessListener: readinessListener,
 		settings:          settings,
 		log:               log,
@@ -90,19 +98,20 @@
 	})
 	g.store.OnRequest = g.metrics.countStoreCall
 	g.pool.OnDial = g.metrics.countDial
-	g.peers = newPeers(g, selfMember(settings, peerListener))
+	g.peers = newPeers(g, selfMember(settings, peerListener, forwardListener))
 	g.coordinator.trialRank = g.peers.rankFor
 	g.coordinator.limits = ratelimit.New(g.peers)
 	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.targets = newTargetList(g)
 	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout)
+	g.forwards = newCallerServer(http.HandlerFunc(g.handleForwarded), func() time.Duration { return defaultIdleTimeout })
 	return g, nil
 }
 
 // selfMember returns the entry that describes this daemon to its peers. The start
 // time serves as the incarnation, because it increases with every start. The entry has
 // no place: a failure domain belongs to one, and entries are most of the control traffic.
-func selfMember(settings platform.Settings, peerListener net.Listener) *peerpb.Member {
+func selfMember(settings platform.Settings, peerListener, forwardListener net.Listener) *peerpb.Member {
 	member := &peerpb.Member{
 		Name:          settings.Host,
 		FailureDomain: settings.FailureDomain,
@@ -110,6 +119,7 @@
 	}
 	if peerListener != nil {
 		member.Address = peerListener.Addr().String()
+		member.ForwardPort = uint32(forwardListener.Addr().(*net.TCPAddr).Port) // listen opens TCP
 	}
 	return member
 }
@@ -132,7 +142,8 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { g.coordinator.run(background); return nil })
 	group.Go(func() error { g.pool.Run(background); return nil })
-	group.Go(func() error { g.watchSilentDomains(background); return nil })
+	group.Go(func() error { g.peerPool.Run(background); return nil })
+	group.Go(func() error { g.watchSilentStreams(background); return nil })
 	group.Go(func() error { g.watchConfig(background); return nil })
 	group.Go(func() error { g.targets.watch.run(background); return nil })
 	group.Go(func() error { return serveHTTP(background, g.readyHandler(), g.readinessListener) })
@@ -141,6 +152,7 @@
 		group.Go(func() error { return mesh.Serve(background, g.peerListener, g.peers) })
 		group.Go(func() error { g.peers.run(background); return nil })
 		group.Go(func() error { g.peers.runOriginCopies(background); return nil })
+		group.Go(func() error { return g.forwards.serve(g.forwardListener) })
 	}
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/timing"
+	"hemlockknot/internal/protocol/forward"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/routing"
 	"hemlockknot/platform"
@@ -42,6 +43,9 @@
 	body      []byte
 	digest    uint64             // of the content, see requestDigest
 	buffers   *bufferReservation // for body and the bodies of responses
+	// forwarded is the decision of the daemon that has passed the request on; nil if the
+	// caller sent it here.
+	forwarded *forward.Request
 }
 
 // handleRequest handles one request of a caller.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -81,6 +81,14 @@
 // countDomainCut counts how often a failure domain has been found to be cut off.
 func (c *counters) countDomainCut() { c.scope.Counter("domain_cuts_total").Inc(1) }
 
+// countUnreachedService counts how often no target of a service has been reached.
+func (c *counters) countUnreachedService() { c.scope.Counter("unreached_services_total").Inc(1) }
+
+// countForward counts an attempt that was made by way of another daemon, by its outcome.
+func (c *counters) countForward(outcome string) {
+	c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("forwarded_requests_total").Inc(1)
+}
+
 // countStoreCall counts a call of the store by its verb.
 func (c *counters) countStoreCall(verb string) {
 	c.scope.Tagged(map[string]string{"verb": verb}).Counter("store_calls_total").Inc(1)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -94,6 +94,8 @@
 	lastPeerStoreResponse time.Time
 	knownRanks            []uint64  // hashes of the names of the other known daemons
 	knownRanksAt          time.Time // when knownRanks was computed
+	// avoidedUntil is until when daemons get no forwarded requests of a service.
+	avoidedUntil map[avoidedForwarder]time.Time
 }
 
 func newPeers(g *Gateway, self *peerpb.Member) *peers {
@@ -110,6 +112,7 @@
 		listBytes:         rate.NewLimiter(rate.Limit(listLinkShare*g.settings.LinkBytesPerS), listBurst),
 		table:             member.New(self),
 		lastStoreResponse: make(map[string]time.Time),
+		avoidedUntil:      make(map[avoidedForwarder]time.Time),
 	}
 	p.setSeeds(g.settings.Seeds)
 	return p
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,6 +55,9 @@
 // checkForCrash records a crash if the target of an attempt that ended without a complete
 // answer accepts no connections any more. A single broken connection proves no crash.
 func (g *Gateway) checkForCrash(req *relayedRequest, progress quarantine.Progress, silent bool) {
+	if req.via != "" {
+		return // the daemon that made the attempt checks
+	}
 	target := req.choice.Target
 	if !silent {
 		req.brokenAt = target.IncarnationHash()
@@ -70,6 +73,10 @@
 			_ = conn.Close()
 			return
 		}
+		if !g.reachesOthers(target) {
+			g.recordFailedConnection(target)
+			return
+		}
 		if !errors.Is(err, syscall.ECONNREFUSED) { // the path to the target may be cut off
 			requests = slices.DeleteFunc(requests, func(r brokenRequest) bool { return r.silent })
 		}
@@ -113,6 +120,9 @@
 // recordAnswer records that a target has begun its answer to a request: it has read the
 // prompt, and no part of the prompt crashes engines.
 func (g *Gateway) recordAnswer(req *relayedRequest) {
+	if req.via != "" {
+		return // the daemon that made the attempt records it
+	}
 	g.logHolds(nil, g.coordinator.recordAnswer(req.choice.Target, req.features()), "own")
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,6 +41,10 @@
 	reasonNoTargetOfVersion = "no_target_of_version"
 )
 
+// reasonUnreached is the reason of a request for which neither this daemon nor any other that
+// it knows reaches a target.
+const reasonUnreached = "no_target_reached"
+
 // relayedRequest is a caller's request and the state of its attempts.
 type relayedRequest struct {
 	*callerRequest
@@ -59,6 +63,13 @@
 	versionPinned   bool
 	brokenAt        uint32 // incarnation of the last target whose connection broke; 0: none
 
+	sentTo          []string // ids of targets that may have received the request
+	via             string   // the daemon by way of which the last attempt was made; empty: none
+	triedForwarders []string // names of daemons that were asked to make an attempt
+	// forwardRetryAfter is when the caller may retry by the last daemon that was asked; 0 if
+	// it has not said.
+	forwardRetryAfter time.Duration
+
 	chosenAt       time.Time         // when choice was made
 	lastEventID    int64             // last stream event that the caller has received
 	firstByteAt    time.Time         // when the first byte of the response was sent
@@ -95,10 +106,18 @@
 			return
 		}
 		g.metrics.countRetry(req.reason)
-		g.log.Info("retrying request", "request", req.call.ID, "reason", req.reason, "target", req.choice.Target.ID, "after_event", req.lastEventID)
+		g.log.Info("retrying request", "request", req.call.ID, "reason", req.reason, "target", req.targetID(), "via", req.via, "after_event", req.lastEventID)
 	}
 }
 
+// targetID returns the id of the target of the last attempt, "" if it had none.
+func (req *relayedRequest) targetID() string {
+	if req.choice.Target == nil {
+		return ""
+	}
+	return req.choice.Target.ID
+}
+
 // attemptOnce sends the request to one target. It forwards the events of a stream, or a
 // complete response that is final, to the caller at once.
 func (g *Gateway) attemptOnce(req *relayedRequest) attempt.Outcome {
@@ -107,6 +126,16 @@
 		req.reason = "out_of_time"
 		return attempt.DeadlineExceeded
 	}
+	req.via = ""
+	if g.mustForward(req) {
+		if outcome, made := g.forwardAttempt(req); made {
+			return outcome
+		}
+		if req.state.UnsentAttempts() > 0 && g.coordinator.unreached(req.service) {
+			req.reason = reasonUnreached
+			return attempt.NoTarget
+		}
+	}
 	choice, promptRead := g.coordinator.chooseTarget(req, true)
 	if promptRead != nil {
 		g.awaitPromptRead(req.r.Context(), req, promptRead)
@@ -125,6 +154,9 @@
 		return attempt.HeldBack
 	}
 	if choice.Target == nil {
+		if outcome, made := g.forwardUnlessLimited(req); made {
+			return outcome
+		}
 		req.reason = "no_target"
 		if g.coordinator.atLimit(req.service) {
 			req.reason = reasonAtLimit
@@ -139,16 +171,17 @@
 	req.triedTargets[choice.Target.ID] = true
 	ctx, cancel := context.WithCancel(req.r.Context())
 	defer cancel()
-	silence := newSilenceTimer(func() bool { return g.mayRetryElsewhere(req) }, cancel)
-	if req.state.RetryAllowed() {
-		silence.restart(timing.FirstByteTimeout(req.route, req.call))
-	}
+	silence := g.watchSilence(req, cancel)
 	defer silence.stop()
 	response, exchangeErr := g.pool.Do(ctx, g.buildRequest(req, remaining))
+	if exchangeErr == nil || exchangeErr.MaybeSent {
+		req.sentTo = append(req.sentTo, choice.Target.ID)
+	}
 	if exchangeErr != nil {
 		return g.handleAttemptError(req, exchangeErr)
 	}
 	defer response.Close()
+	g.coordinator.recordReached(choice.Target.Service)
 	info := platform.ParseResponseHeader(response.Header)
 	g.recordTargetState(req, response.Status, info)
 	if refusedByTarget(response.Status, info) {
@@ -163,6 +196,25 @@
 	return g.relayBuffered(req, response)
 }
 
+// watchSilence starts the timer that cancels an attempt whose first byte does not come, if
+// the request may be retried.
+func (g *Gateway) watchSilence(req *relayedRequest, cancel func()) *silenceTimer {
+	silence := newSilenceTimer(func() bool { return g.mayRetryElsewhere(req) }, cancel)
+	if req.state.RetryAllowed() {
+		silence.restart(timing.FirstByteTimeout(req.route, req.call))
+	}
+	return silence
+}
+
+// forwardUnlessLimited makes an attempt by way of another daemon if this one has a target
+// that it does not reach. Limits and requests for no requests hold at all daemons.
+func (g *Gateway) forwardUnlessLimited(req *relayedRequest) (outcome attempt.Outcome, made bool) {
+	if !g.coordinator.hasUnreachedTarget(req) {
+		return 0, false
+	}
+	return g.forwardAttempt(req)
+}
+
 // recordTargetState records what a response says about the state of its target: its
 // load, that it leaves, that it takes a limited number of requests, or none for a time.
 func (g *Gateway) recordTargetState(req *relayedRequest, status int, info relay.Answer) {
@@ -240,7 +292,7 @@
 // mayRetryElsewhere reports whether the request may be taken from a silent target: another
 // one would take it, and the retry budget has granted it an attempt.
 func (g *Gateway) mayRetryElsewhere(req *relayedRequest) bool {
-	return g.coordinator.hasTarget(req) && g.reserveRetry(req)
+	return (g.coordinator.hasTarget(req) || g.mustForward(req) && g.canForward(req)) && g.reserveRetry(req)
 }
 
 // refusedByTarget reports whether a response says that the target has not run the
@@ -258,6 +310,9 @@
 // idle connections to it. An outcome that is not conclusive says nothing about the
 // target, since the caller left first.
 func (g *Gateway) recordOutcome(req *relayedRequest, outcome outlier.Outcome, conclusive bool) {
+	if req.via != "" {
+		return // the daemon that made the attempt records it
+	}
 	ejected, released := g.coordinator.finishAttempt(req.choice.Target, req.features(), outcome, conclusive)
 	g.logHolds(nil, released, "own")
 	if ejected {
@@ -279,6 +334,9 @@
 	case !exchangeErr.MaybeSent:
 		req.reason = "unreachable"
 		g.recordOutcome(req, outlier.Unreachable, !callerLeft)
+		if !callerLeft {
+			g.recordFailedConnection(req.choice.Target)
+		}
 		if exchangeErr.TimedOut && !callerLeft && g.coordinator.recordUnreachable(req.choice.Target) {
 			g.handleCutOff(req.choice.Target.FailureDomain, "unreachable")
 		}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -21,6 +21,7 @@
 // deliver sends a target's complete response to the caller.
 func (g *Gateway) deliver(req *relayedRequest, response *bufferedResponse) {
 	copyHeader(req.w.Header(), platform.ForwardedResponseHeader(response.header))
+	req.describeForwarded(req.w.Header())
 	req.firstByteAt = time.Now()
 	req.w.WriteHeader(response.status)
 	_, _ = req.w.Write(response.body)
@@ -69,7 +70,10 @@
 // them takes requests again.
 func (g *Gateway) retryAfter(req *relayedRequest, outcome attempt.Outcome) time.Duration {
 	remaining := time.Until(req.deadline)
-	if outcome == attempt.HeldBack {
+	if req.forwardRetryAfter > 0 {
+		return req.forwardRetryAfter
+	}
+	if outcome == attempt.HeldBack && req.hold != nil {
 		return req.hold.For // not limited to what callers honour: coming back sooner is in vain
 	}
 	if refusing := g.coordinator.serviceRefusingFor(req.service); refusing > 0 {
@@ -110,6 +114,12 @@
 	if req.choice.Target != nil && req.route.Resumable {
 		fields = append(fields, "target_version", req.choice.Target.SoftwareVersion, "resumes", req.call.Resumes, "resumes_after_event", req.call.LastEventID)
 	}
+	if req.via != "" {
+		fields = append(fields, "via", req.via)
+	}
+	if req.forwarded != nil {
+		fields = append(fields, "entry", req.forwarded.Entry)
+	}
 	if req.hold != nil {
 		fields = append(fields, "held_part", partName(req.hold.Feature), "held_part_id", truncatedID(req.hold.PartID), "held_request", req.hold.IsRequest, "crashes", req.hold.Crashes)
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -24,6 +25,7 @@
 func (g *Gateway) stop() {
 	g.stopping.Store(true)
 	g.callers.closeAfterResponse.Store(true)
+	g.forwards.closeAfterResponse.Store(true)
 	g.peers.announceLeaving()
 	g.log.Warn("stopping", "requests", g.callers.inFlight.Load())
 	grace := time.Duration(g.stopGrace.Load())
@@ -33,7 +35,9 @@
 	case <-time.After(min(drainDelay, grace/2)):
 	case <-ctx.Done():
 	}
-	if err := g.callers.shutdown(ctx); err != nil {
+	forwardsEnded := make(chan error, 1)
+	go func() { forwardsEnded <- g.forwards.shutdown(ctx) }()
+	if err := errors.Join(g.callers.shutdown(ctx), <-forwardsEnded); err != nil {
 		g.log.Warn("grace period ended with requests in progress", "requests", g.callers.inFlight.Load(), "error", err)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,8 +21,11 @@
 	silence := newSilenceTimer(func() bool { return g.mayRetryElsewhere(req) }, cancel)
 	defer silence.stop()
 	retryable := req.state.RetryAllowed()
-	stream := g.streams.add(req.choice.Target, cancel, retryable)
-	defer g.streams.remove(stream)
+	var stream *trackedStream
+	if req.via == "" {
+		stream = g.streams.add(req.choice.Target, cancel, retryable)
+		defer g.streams.remove(stream)
+	}
 	response.SetReadTimeout(g.responseTimeout(req))
 	for first := true; ; first = false {
 		if retryable {
@@ -36,7 +39,9 @@
 			flush(req) // the caller gets all received events, even if no more follow
 			return g.handleStreamError(req, !first, err)
 		}
-		g.streams.recordEvent(stream)
+		if stream != nil {
+			g.streams.recordEvent(stream)
+		}
 		if first {
 			g.recordAnswer(req)
 		}
@@ -82,6 +87,7 @@
 	}
 	req.firstByteAt = time.Now()
 	copyHeader(req.w.Header(), platform.ForwardedResponseHeader(response.Header))
+	req.describeForwarded(req.w.Header())
 	req.w.WriteHeader(response.Status)
 	req.state.RecordAnswerStarted()
 }
--- a/internal/gateway/stream_tracker.go
+++ b/internal/gateway/stream_tracker.go
@@ -11,8 +11,9 @@
 // streamTracker tracks the open streams by failure domain and when each domain last
 // sent an event. A domain whose streams are all silent may be cut off.
 type streamTracker struct {
-	mu      sync.Mutex
-	domains map[string]*domainStreams
+	mu       sync.Mutex
+	domains  map[string]*domainStreams
+	services map[string]time.Time // when each service last sent an event, or responded otherwise
 }
 
 // domainStreams are the open streams from the targets of one failure domain.
@@ -31,7 +32,7 @@
 }
 
 func newStreamTracker() *streamTracker {
-	return &streamTracker{domains: make(map[string]*domainStreams)}
+	return &streamTracker{domains: make(map[string]*domainStreams), services: make(map[string]time.Time)}
 }
 
 // add tracks a stream whose response has begun.
@@ -46,6 +47,7 @@
 	stream := &trackedStream{domain: domain, target: target, cancel: cancel, retryable: retryable}
 	domain.streams[stream] = struct{}{}
 	domain.lastEvent = time.Now()
+	t.services[target.Service] = domain.lastEvent
 	return stream
 }
 
@@ -54,6 +56,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stream.domain.lastEvent = time.Now()
+	t.services[stream.target.Service] = stream.domain.lastEvent
 }
 
 // recordDomainActivity records that a failure domain has responded by other means
@@ -66,6 +69,14 @@
 	}
 }
 
+// recordServiceActivity records that a service has responded by other means than an event of
+// a stream.
+func (t *streamTracker) recordServiceActivity(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.services[name] = time.Now()
+}
+
 // remove stops tracking a stream that has ended.
 func (t *streamTracker) remove(stream *trackedStream) {
 	t.mu.Lock()
@@ -89,6 +100,43 @@
 	return snapshot
 }
 
+// serviceSnapshot returns the state of all services' streams, the input of
+// cutoff.SilentServices.
+func (t *streamTracker) serviceSnapshot() []cutoff.ServiceStreams {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	targets := make(map[string]map[*fleet.Target]struct{})
+	for _, domain := range t.domains {
+		for stream := range domain.streams {
+			if targets[stream.target.Service] == nil {
+				targets[stream.target.Service] = make(map[*fleet.Target]struct{})
+			}
+			targets[stream.target.Service][stream.target] = struct{}{}
+		}
+	}
+	var snapshot []cutoff.ServiceStreams
+	for service, streaming := range targets {
+		snapshot = append(snapshot, cutoff.ServiceStreams{Service: service, Targets: len(streaming), LastEvent: t.services[service]})
+	}
+	return snapshot
+}
+
+// cancelService cancels the retryable streams of a service and returns their number.
+func (t *streamTracker) cancelService(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cancelled := 0
+	for _, domain := range t.domains {
+		for stream := range domain.streams {
+			if stream.retryable && stream.target.Service == name {
+				stream.cancel()
+				cancelled++
+			}
+		}
+	}
+	return cancelled
+}
+
 // cancelDomain cancels the retryable streams of a failure domain and returns their
 // number.
 func (t *streamTracker) cancelDomain(name string) int {
--- a/internal/gateway/unreached_targets_test.go
+++ b/internal/gateway/unreached_targets_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// leavesNoTrace checks that all daemons reach all services and eject no target: that targets
+// were not reached was no fault of theirs.
+func (l *linkedFleet) leavesNoTrace() {
+	for _, f := range l.daemons {
+		c := f.daemon.coordinator
+		must.SliceEmpty(l.t, c.unreachedServices())
+		c.do(func() {
+			for _, member := range c.roster.Members() {
+				must.False(l.t, c.outlier.Ejected(member.Target.ID, time.Now()), must.Sprint(member.Target.ID))
+			}
+			must.SliceEmpty(l.t, c.quarantine.Held(time.Now()))
+		})
+	}
+}
+
 // recoverBound is the users' bound of RECOVER: hosts that are cut off from all targets serve
 // at least two thirds of what the others do, or fail 10 + 1 in 50 of all requests at most.
 func recoverBound(t *testing.T, results []served, cut int) {
@@ -187,6 +202,7 @@
 				must.Eq(t, result.sent, result.served, must.Sprint("daemon ", i, " after the heal"))
 			}
 			fleet.noneRanTwice()
+			fleet.leavesNoTrace()
 		})
 	}
 }
