Brittle targets get no more requests than they can reject without falling over

Cause: a rejection was free. It is a budget of the target now, shared by all daemons as limits are: as many daemons as the target bears rejections, less one, use it; a user sends one request in the time in which a rejection comes, none to a target whose slots are taken, and leaves it alone for 2 s after a rejection. A daemon whose targets are all left to others forwards to them.

--- /dev/null
+++ b/internal/coordination/brittle/brittle.go
@@ -0,0 +1,180 @@
+// Package brittle decides when a daemon may send a request to a target that falls over if it
+// has to reject too many requests in a second. It is a state machine without I/O or clock.
+//
+// The load that it answers is a service whose targets say that they are brittle and then take
+// fewer requests than before, while all daemons send as many as they did. One daemon fewer uses
+// a target than it bears rejections in a second, those that rank first for it, and the others
+// leave it alone but for a rare request by which they hear whether it is still brittle. A rejection comes within a round trip, so a user sends one request in that
+// time, only to a target that has room by all that is known, and leaves the target alone
+// after a rejection.
+//
+// Invariant: while the daemons have the same view of the fleet, a target that bears four
+// rejections in a second or more never has more, nor has one that bears two in a fleet of up
+// to 30 daemons. One that bears a single one has two if the rare request of another daemon
+// meets the user's.
+package brittle
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// confirmTime is how long after its sending a request counts as accepted unless it was
+	// rejected. Opening a connection and a round trip between domains take 10 ms.
+	confirmTime = 30 * time.Millisecond
+	// pause is how long a target is left alone after a rejection: twice the time over which
+	// the target counts, as views of the fleet differ for a while.
+	pause = 2 * time.Second
+	// roomGrowth is by how many requests the room that a rejection has shown grows in a
+	// second without another one.
+	roomGrowth = 1.0
+	// minAskInterval and maxAskInterval are the range of the time after which a daemon that
+	// leaves a target alone sends it a request to hear whether it is still brittle. One of
+	// them does so each askSpacing, more in fleets of over 30 daemons.
+	minAskInterval = 5 * time.Second
+	maxAskInterval = time.Minute
+	askSpacing     = 2 * time.Second
+	// statementLifetime is how long the last statement of a target holds if nothing more
+	// is heard of it.
+	statementLifetime = 2 * maxAskInterval
+)
+
+// Fleet is a daemon's view of the other daemons.
+type Fleet interface {
+	// Rank returns how many known daemons rank above this one for a key, and the number
+	// of known daemons, this one included.
+	Rank(key uint64) (above, known int)
+}
+
+// Load is what is known of the load of a target.
+type Load struct {
+	Requests float64 // estimated number of requests that the target holds
+	Slots    int     // how many it runs at the same time; 0: unknown
+}
+
+// Tracker tracks brittle targets. It is not safe for concurrent use.
+type Tracker struct {
+	fleet   Fleet
+	targets map[uint32]*target // by the hash of the incarnation
+}
+
+// target is what is known of one brittle target.
+type target struct {
+	rejections float64 // that it bears in a second
+	saidAt     time.Time
+	sentAt     time.Time
+	asked      bool // the last request was sent to hear whether it is still brittle
+	pausedTill time.Time
+	room       float64 // requests that it held when it rejected one; +Inf before
+	roomAt     time.Time
+}
+
+// New returns a tracker without brittle targets.
+func New(fleet Fleet) *Tracker { return &Tracker{fleet: fleet, targets: make(map[uint32]*target)} }
+
+// Any reports whether any target is brittle.
+func (t *Tracker) Any() bool { return len(t.targets) > 0 }
+
+// RecordBrittle records that a target has said how many rejections in a second it bears. It
+// reports whether that is new.
+func (t *Tracker) RecordBrittle(incarnation uint32, rejections float64, now time.Time) (isNew bool) {
+	known := t.targets[incarnation]
+	if known == nil {
+		known = &target{room: math.Inf(1)}
+		t.targets[incarnation] = known
+		isNew = true
+	}
+	known.rejections, known.saidAt = rejections, now
+	return isNew
+}
+
+// RecordSound records that a target has answered without saying that it is brittle, and
+// reports whether it was.
+func (t *Tracker) RecordSound(incarnation uint32) (wasBrittle bool) {
+	_, wasBrittle = t.targets[incarnation]
+	delete(t.targets, incarnation)
+	return wasBrittle
+}
+
+// RecordSent records that a request is sent to a target.
+func (t *Tracker) RecordSent(incarnation uint32, now time.Time) {
+	if known := t.targets[incarnation]; known != nil {
+		known.sentAt, known.asked = now, !t.uses(incarnation, known)
+	}
+}
+
+// RecordRejection records that a target has rejected a request for lack of room, while it
+// held a number of requests.
+func (t *Tracker) RecordRejection(incarnation uint32, held float64, now time.Time) {
+	known := t.targets[incarnation]
+	if known == nil {
+		return
+	}
+	known.pausedTill = now.Add(pause)
+	known.room, known.roomAt = max(1, held), now
+}
+
+// Wait returns how long this daemon must not send a request to a target, 0 if it may.
+func (t *Tracker) Wait(incarnation uint32, load Load, now time.Time) time.Duration {
+	known := t.targets[incarnation]
+	if known == nil {
+		return 0
+	}
+	if !t.uses(incarnation, known) {
+		return t.waitToAsk(incarnation, known, now)
+	}
+	if paused := known.pausedTill.Sub(now); paused > 0 {
+		return paused
+	}
+	if unconfirmed := known.sentAt.Add(confirmTime).Sub(now); unconfirmed > 0 {
+		return unconfirmed
+	}
+	if load.Requests >= known.roomFor(load.Slots, now) {
+		return confirmTime
+	}
+	return 0
+}
+
+// waitToAsk returns how long a daemon that leaves a target to others must not send it the
+// request by which it hears whether the target is still brittle. The daemons take turns by
+// rank.
+func (t *Tracker) waitToAsk(incarnation uint32, known *target, now time.Time) time.Duration {
+	above, daemons := t.fleet.Rank(uint64(incarnation))
+	interval := min(max(time.Duration(daemons)*askSpacing, minAskInterval), maxAskInterval)
+	turn := interval * time.Duration(above) / time.Duration(max(1, daemons))
+	if known.asked { // the first turn has set the daemons apart
+		return max(0, known.sentAt.Add(interval).Sub(now))
+	}
+	return max(0, known.saidAt.Add(interval+turn).Sub(now))
+}
+
+// LeftToOthers reports whether this daemon leaves a target to others that may use it.
+func (t *Tracker) LeftToOthers(incarnation uint32) bool {
+	known := t.targets[incarnation]
+	return known != nil && !t.uses(incarnation, known)
+}
+
+// uses reports whether this daemon is one of those that use a target.
+func (t *Tracker) uses(incarnation uint32, known *target) bool {
+	above, _ := t.fleet.Rank(uint64(incarnation))
+	return float64(above) < max(1, math.Floor(known.rejections)-1)
+}
+
+// roomFor returns how many requests a target may hold before one more might be rejected.
+func (t *target) roomFor(slots int, now time.Time) float64 {
+	room := t.room + roomGrowth*now.Sub(t.roomAt).Seconds()
+	if slots > 0 {
+		room = min(room, float64(slots))
+	}
+	return room
+}
+
+// Expire drops the statements of targets that are too old.
+func (t *Tracker) Expire(now time.Time) {
+	for incarnation, known := range t.targets {
+		if now.Sub(known.saidAt) > statementLifetime {
+			delete(t.targets, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/brittle/brittle_test.go
@@ -0,0 +1,111 @@
+package brittle_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	. "hemlockknot/internal/coordination/brittle"
+)
+
+// fleet is a view of the fleet in which this daemon has a rank for all keys.
+type fleet struct{ above, known int }
+
+func (f fleet) Rank(uint64) (above, known int) { return f.above, f.known }
+
+const engine = 7
+
+func TestBrittleTargetGetsFewRequestsAtATime(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	cases := []struct {
+		name    string
+		fleet   fleet
+		prepare func(*Tracker)
+		load    Load
+		atMs    int
+		allowed bool
+	}{
+		{"sound", fleet{0, 8}, func(*Tracker) {}, Load{99, 64}, 0, true},
+		{"with room", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start) }, Load{63, 64}, 0, true},
+		{"slots taken", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start) }, Load{64, 64}, 0, false},
+		{"left to the daemons whose rejections it bears", fleet{4, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start) }, Load{1, 64}, 0, false},
+		{"the last daemon whose rejections it bears", fleet{2, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start) }, Load{1, 64}, 0, true},
+		{"left to others, but not heard of for long", fleet{4, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start) }, Load{1, 64}, 25_000, true},
+		{"left to others, and asked", fleet{4, 8}, func(tr *Tracker) {
+			tr.RecordBrittle(engine, 4, start)
+			tr.RecordSent(engine, start.Add(25*time.Second))
+		}, Load{1, 64}, 25_100, false},
+		{"no rejection is borne", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 0, start) }, Load{1, 64}, 0, true},
+		{"a request may still be rejected", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start); tr.RecordSent(engine, start) }, Load{1, 64}, 10, false},
+		{"a request has been accepted", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start); tr.RecordSent(engine, start) }, Load{1, 64}, 40, true},
+		{"after a rejection", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start); tr.RecordRejection(engine, 10, start) }, Load{1, 64}, 1900, false},
+		{"long after a rejection, less load", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start); tr.RecordRejection(engine, 10, start) }, Load{9, 64}, 2100, true},
+		{"long after a rejection, more load", fleet{0, 8}, func(tr *Tracker) { tr.RecordBrittle(engine, 4, start); tr.RecordRejection(engine, 10, start) }, Load{15, 64}, 2100, false},
+		{"sound again", fleet{0, 8}, func(tr *Tracker) {
+			tr.RecordBrittle(engine, 4, start)
+			tr.RecordRejection(engine, 10, start)
+			must.True(t, tr.RecordSound(engine))
+		}, Load{99, 64}, 10, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := New(c.fleet)
+			c.prepare(tracker)
+			must.Eq(t, c.allowed, tracker.Wait(engine, c.load, at(c.atMs)) == 0)
+		})
+	}
+}
+
+// All daemons send as much as they may to a target that rejects everything: in no second it
+// must have to reject more than it bears.
+func TestRejectionsOfAllDaemonsStayBelowWhatATargetBears(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, daemons := range []int{1, 4, 8, 71} {
+		for _, bears := range []float64{2, 4, 20} {
+			if bears < 4 && daemons > 30 {
+				continue // the daemons that ask are more than one a second
+			}
+			var trackers []*Tracker
+			for i := range daemons {
+				tracker := New(fleet{i, daemons})
+				tracker.RecordBrittle(engine, bears, start)
+				trackers = append(trackers, tracker)
+			}
+			var rejected []time.Time
+			for now := start; now.Before(start.Add(2 * time.Minute)); now = now.Add(10 * time.Millisecond) {
+				for _, tracker := range trackers {
+					if tracker.Wait(engine, Load{}, now) > 0 {
+						continue
+					}
+					tracker.RecordSent(engine, now)
+					tracker.RecordBrittle(engine, bears, now)
+					tracker.RecordRejection(engine, 0, now)
+					rejected = append(rejected, now)
+				}
+			}
+			must.Greater(t, 0, len(rejected))
+			for i, from := range rejected {
+				count := 0
+				for _, at := range rejected[i:] {
+					if at.Sub(from) < time.Second {
+						count++
+					}
+				}
+				must.LessEq(t, bears, float64(count), must.Sprint(daemons, " daemons, the target bears ", bears))
+			}
+		}
+	}
+}
+
+func TestStatementsExpire(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tracker := New(fleet{0, 1})
+	must.True(t, tracker.RecordBrittle(engine, 1, start))
+	must.False(t, tracker.RecordBrittle(engine, 1, start.Add(time.Second)))
+	tracker.Expire(start.Add(time.Minute))
+	must.True(t, tracker.Any())
+	tracker.Expire(start.Add(3 * time.Minute))
+	must.False(t, tracker.Any())
+}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -179,6 +179,16 @@
 	return c.target.Slots > 0 && estimate >= float64(c.target.Slots)
 }
 
+// Load returns the estimated number of requests that a target holds, and its slots, 0 if the
+// target is unknown.
+func (t *Table) Load(id string, now time.Time) (requests float64, slots int) {
+	c := t.byID[id]
+	if c == nil {
+		return 0, 0
+	}
+	return c.load.estimate(now.Sub(t.createdAt)), c.target.Slots
+}
+
 // RecordStart records that a request is sent to a target.
 func (t *Table) RecordStart(id string, query Query, now time.Time) {
 	c := t.byID[id]
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -39,6 +39,9 @@
 		if c.limits.Any() {
 			c.limits.Take(choice.Target.IncarnationHash(), now)
 		}
+		if c.brittle.Any() {
+			c.brittle.RecordSent(choice.Target.IncarnationHash(), now)
+		}
 		c.placement.RecordStart(choice.Target.ID, query, now)
 	})
 	if wait != nil && mayWait {
@@ -99,16 +102,19 @@
 	return choice
 }
 
-// hasUnreachedTarget reports whether a target is left out only because this daemon does not
-// reach it.
-func (c *coordinator) hasUnreachedTarget(req *relayedRequest) bool {
+// hasTargetForOthers reports whether a target is left out only because this daemon does not
+// reach it, or leaves it to other daemons because it is brittle.
+func (c *coordinator) hasTargetForOthers(req *relayedRequest) bool {
 	found := false
 	c.do(func() {
 		now := time.Now()
 		for _, target := range c.placement.Candidates(req.service) {
 			id := target.ID
-			found = found || !c.otherVersion(req, id) && !slices.Contains(req.sentTo, id) && !c.outlier.Refusing(id, now) && c.limitWait(id, now) == 0 &&
-				(c.outlier.Held(id) || req.triedTargets[id])
+			if c.otherVersion(req, id) || slices.Contains(req.sentTo, id) || c.outlier.Refusing(id, now) {
+				continue
+			}
+			unreached := c.limitWait(id, now) == 0 && (c.outlier.Held(id) || req.triedTargets[id])
+			found = found || unreached || c.brittle.LeftToOthers(c.incarnation(id))
 		}
 	})
 	return found
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockknot/internal/coordination/attempt"
+	"hemlockknot/internal/coordination/brittle"
 	"hemlockknot/internal/coordination/cutoff"
 	"hemlockknot/internal/coordination/origin"
 	"hemlockknot/internal/coordination/outlier"
@@ -36,6 +37,7 @@
 	promptReads *promptReads
 	quarantine  *quarantine.Tracker
 	limits      *ratelimit.Tracker
+	brittle     *brittle.Tracker
 	origins     *origin.Tracker
 	// softwareVersions are the versions of the targets by id.
 	softwareVersions map[string]string
@@ -98,6 +100,7 @@
 			}
 			c.quarantine.Expire(now)
 			c.limits.Expire(now)
+			c.brittle.Expire(now)
 			c.origins.Expire(now)
 		}
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,7 +70,7 @@
 		if outcome, made = g.forwardTo(req, chosen); made {
 			return outcome, true
 		}
-		g.peers.avoidForwarder(chosen.name, req.service)
+		req.via = ""
 	}
 	return 0, false
 }
@@ -88,7 +88,7 @@
 		g.metrics.countForward("failed")
 		g.log.Info("forwarding failed", "request", req.call.ID, "peer", to.name, "may_have_been_sent", exchangeErr.MaybeSent, "error", exchangeErr)
 		if !exchangeErr.MaybeSent {
-			req.via = ""
+			g.peers.avoidForwarder(to.name, req.service)
 			return 0, false
 		}
 		req.reason = "peer_broken"
@@ -120,10 +120,10 @@
 	switch answer.Outcome {
 	case forward.Answered:
 	case forward.Unreached:
-		req.via = ""
+		g.peers.avoidForwarder(req.via, req.service)
 		return 0, false
 	case forward.NoTarget:
-		return attempt.NoTarget, true
+		return 0, false
 	case forward.Refused:
 		return attempt.Refused, true
 	case forward.HeldBack:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hemlockknot/internal/coordination/brittle"
 	"hemlockknot/internal/coordination/ratelimit"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/transport/exchange"
@@ -102,6 +103,7 @@
 	g.peers = newPeers(g, selfMember(settings, peerListener, forwardListener))
 	g.coordinator.trialRank = g.peers.rankFor
 	g.coordinator.limits = ratelimit.New(g.peers)
+	g.coordinator.brittle = brittle.New(g.peers)
 	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.streamRecord = newStreamRecord(g)
 	g.targets = newTargetList(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,9 @@
 // countTargetRefusal counts a response by which a target asks for no requests for a time.
 func (c *counters) countTargetRefusal() { c.scope.Counter("target_refusals_total").Inc(1) }
 
+// countBrittleRejection counts a request that a brittle target has rejected.
+func (c *counters) countBrittleRejection() { c.scope.Counter("brittle_rejections_total").Inc(1) }
+
 // countPromptWait counts a request that was held back while its session's prompt was read.
 func (c *counters) countPromptWait() { c.scope.Counter("prompt_waits_total").Inc(1) }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -206,10 +206,10 @@
 	return silence
 }
 
-// forwardUnlessLimited makes an attempt by way of another daemon if this one has a target
-// that it does not reach. Limits and requests for no requests hold at all daemons.
+// forwardUnlessLimited makes an attempt by way of another daemon if there is a target that
+// others may use. Limits and requests for no requests hold at all daemons.
 func (g *Gateway) forwardUnlessLimited(req *relayedRequest) (outcome attempt.Outcome, made bool) {
-	if !g.coordinator.hasUnreachedTarget(req) {
+	if !g.coordinator.hasTargetForOthers(req) {
 		return 0, false
 	}
 	return g.forwardAttempt(req)
@@ -227,6 +227,13 @@
 		g.metrics.countLimitChange()
 		g.log.Info("target has changed its rate limit", "target", target.ID, "per_s", info.RateLimit, "source", "target", "request", req.call.ID)
 	}
+	if g.coordinator.recordBrittle(target, info.Brittle, info.Rejections) {
+		g.log.Info("target has changed whether it is brittle", "target", target.ID, "brittle", info.Brittle, "rejections_per_s", info.Rejections, "request", req.call.ID)
+	}
+	if info.Brittle && refusedByTarget(status, info) {
+		g.coordinator.recordRejection(target, info.Load)
+		g.metrics.countBrittleRejection()
+	}
 	if info.Leaving && g.coordinator.markLeaving(target) {
 		g.log.Info("target is leaving", "target", target.ID, "source", "target", "request", req.call.ID)
 	}
--- a/internal/gateway/target_limit.go
+++ b/internal/gateway/target_limit.go
@@ -5,9 +5,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hemlockknot/internal/coordination/brittle"
 	"hemlockknot/internal/coordination/ranking"
 	"hemlockknot/internal/coordination/ratelimit"
 	"hemlockknot/internal/protocol/peerpb"
+	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/fleet"
 )
 
@@ -30,12 +32,44 @@
 )
 
 // limitWait returns how long this daemon must not send a request to a target because of the
-// limit that the target names. The caller must run on the coordinator's goroutine.
+// limit that the target names, or because the target is brittle. The caller must run on the coordinator's goroutine.
 func (c *coordinator) limitWait(id string, now time.Time) time.Duration {
-	if !c.limits.Any() {
-		return 0
+	wait := time.Duration(0)
+	if c.limits.Any() {
+		wait = c.limits.Wait(c.incarnation(id), now)
+	}
+	if c.brittle.Any() {
+		requests, slots := c.placement.Load(id, now)
+		wait = max(wait, c.brittle.Wait(c.incarnation(id), brittle.Load{Requests: requests, Slots: slots}, now))
 	}
-	return c.limits.Wait(c.incarnation(id), now)
+	return wait
+}
+
+// recordBrittle records whether a target has said in an answer that it is brittle, and how
+// many rejections in a second it bears. It reports whether that is a change.
+func (c *coordinator) recordBrittle(target *fleet.Target, isBrittle bool, rejections float64) (changed bool) {
+	c.do(func() {
+		if isBrittle {
+			changed = c.brittle.RecordBrittle(target.IncarnationHash(), rejections, time.Now())
+			return
+		}
+		changed = c.brittle.RecordSound(target.IncarnationHash())
+	})
+	return changed
+}
+
+// recordRejection records that a target has rejected a request of this daemon for lack of
+// room. Load is what it has said of its load, nil if nothing.
+func (c *coordinator) recordRejection(target *fleet.Target, load *relay.LoadReport) {
+	c.do(func() {
+		now := time.Now()
+		held, _ := c.placement.Load(target.ID, now)
+		held-- // without the rejected request
+		if load != nil {
+			held = float64(load.Running + load.Waiting)
+		}
+		c.brittle.RecordRejection(target.IncarnationHash(), held, now)
+	})
 }
 
 // incarnation returns the hash of a target's incarnation, 0 for an unknown target. The
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -49,5 +49,7 @@
 	IdleTimeout time.Duration // how long the target keeps an idle connection; 0 if unknown
 	Leaving     bool          // the target shuts down and must get no new requests
 	RateLimit   float64       // requests per second that the target takes from all daemons together; 0: no limit
+	Brittle     bool          // the target falls over if it has to reject more than Rejections requests in a second
+	Rejections  float64       // per second, of requests for which it has no room; 0 unless Brittle
 	RetryAfter  time.Duration // with a refusal: how long the target wants no requests from this daemon; 0 if not said
 }
