--- a/internal/transport/exchange/conn.go
+++ b/internal/transport/exchange/conn.go
@@ -9,9 +9,10 @@
 	"time"
 )
 
-// userTimeout is how long sent bytes may stay unacknowledged before the kernel
-// closes the connection: a host that is cut off from the network sends no reset.
-const userTimeout = time.Second
+// userTimeout is how long sent bytes, or a keep-alive probe, may stay unacknowledged before
+// the kernel closes the connection: a host that is cut off from the network sends no reset.
+// It is more than twice the second or so for which a sound target may fall silent.
+const userTimeout = 2500 * time.Millisecond
 
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
