A daemon is cut off if probes bring no answer, not if connections fail

A probe is now a request for a target that does not exist, which every target answers and none runs. A service also counts as silent if requests to two of its targets have waited for 0.3 s while nothing came from any: plain services have no streams to fall silent. A crash check that reaches none of the targets that it probes waits for any other answer, as those may all have crashed. Probes avoid targets that have asked for fewer requests. A daemon without a free port takes no forwarded requests, and starts.

--- a/internal/coordination/cutoff/cutoff.go
+++ b/internal/coordination/cutoff/cutoff.go
@@ -22,6 +22,12 @@
 	// minServiceTargets is how many targets of a service must have streams that have begun.
 	// There is no other domain to compare with, so it takes more than for a domain.
 	minServiceTargets = 3
+	// minWaitingTargets is how many targets of a service must have requests that wait.
+	minWaitingTargets = 2
+	// WaitThreshold is the time without an answer after which a request counts as waiting,
+	// and its service as silent if requests wait. Plain services answer within 60 ms; an
+	// engine that reads a long prompt takes longer, but not all of them at once.
+	WaitThreshold = 300 * time.Millisecond
 	// minStreamingTargets is how many targets of the domain must have streams that have
 	// begun.
 	minStreamingTargets = 2
@@ -60,19 +66,21 @@
 	return false
 }
 
-// ServiceStreams summarizes the streams that this daemon receives from a service.
-type ServiceStreams struct {
-	Service   string
-	Targets   int       // engines with streams that have begun
-	LastEvent time.Time // as in DomainStreams
+// ServiceActivity summarizes what this daemon receives from a service.
+type ServiceActivity struct {
+	Service    string
+	Targets    int       // engines with streams that have begun
+	Waiting    int       // targets with requests that have waited for an answer for WaitThreshold
+	LastAnswer time.Time // of the last event or other answer of any target
 }
 
-// SilentServices returns the services all of whose streams have become silent: this daemon
-// may be cut off from all their targets.
-func SilentServices(services []ServiceStreams, now time.Time) []string {
+// SilentServices returns the services that have become silent: this daemon may be cut off
+// from all their targets.
+func SilentServices(services []ServiceActivity, now time.Time) []string {
 	var silent []string
 	for _, s := range services {
-		if s.Targets >= minServiceTargets && now.Sub(s.LastEvent) >= silenceThreshold {
+		silence := now.Sub(s.LastAnswer)
+		if s.Targets >= minServiceTargets && silence >= silenceThreshold || s.Waiting >= minWaitingTargets && silence >= WaitThreshold {
 			silent = append(silent, s.Service)
 		}
 	}
--- a/internal/coordination/cutoff/cutoff_test.go
+++ b/internal/coordination/cutoff/cutoff_test.go
@@ -32,7 +32,8 @@
 func TestSilentServices(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	ago := func(milliseconds int) time.Time { return now.Add(-time.Duration(milliseconds) * time.Millisecond) }
-	must.Eq(t, []string{"silent"}, SilentServices([]ServiceStreams{
-		{"silent", 3, ago(150)}, {"active", 3, ago(20)}, {"two engines may be prefilling prompts", 2, ago(500)}, {"without streams", 0, ago(9000)},
+	must.Eq(t, []string{"silent", "requests wait"}, SilentServices([]ServiceActivity{
+		{"silent", 3, 0, ago(150)}, {"active", 3, 0, ago(20)}, {"two engines may be prefilling prompts", 2, 0, ago(500)}, {"without streams", 0, 0, ago(9000)},
+		{"requests wait", 0, 2, ago(400)}, {"requests wait and others are answered", 0, 2, ago(200)}, {"one target is silent", 0, 1, ago(900)},
 	}, now))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,7 @@
 	callerListener    net.Listener // for callers' requests
 	readinessListener net.Listener // for the platform's readiness checks
 	peerListener      net.Listener // for other daemons; nil if the settings name no address
-	forwardListener   net.Listener // for requests that other daemons pass on; nil without peerListener
+	forwardListener   net.Listener // for requests that other daemons pass on; nil if it takes none
 	forwards          *callerServer
 	peerPool          *exchange.Pool // connections to other daemons' forwardListeners
 	stopping          atomic.Bool
@@ -72,7 +72,7 @@
 			return nil, errors.Join(err, callerListener.Close(), readinessListener.Close())
 		}
 		if forwardListener, err = listenForward(settings); err != nil {
-			return nil, errors.Join(err, callerListener.Close(), readinessListener.Close(), peerListener.Close())
+			log.Warn("requests of other daemons are not taken", "error", err)
 		}
 	}
 	g := &Gateway{
@@ -123,6 +123,8 @@
 	}
 	if peerListener != nil {
 		member.Address = peerListener.Addr().String()
+	}
+	if forwardListener != nil {
 		member.ForwardPort = uint32(forwardListener.Addr().(*net.TCPAddr).Port) // listen opens TCP
 	}
 	return member
@@ -157,6 +159,8 @@
 		group.Go(func() error { return mesh.Serve(background, g.peerListener, g.peers) })
 		group.Go(func() error { g.peers.run(background); return nil })
 		group.Go(func() error { g.peers.runOriginCopies(background); return nil })
+	}
+	if g.forwardListener != nil {
 		group.Go(func() error { return g.forwards.serve(g.forwardListener) })
 	}
 	if metricsAddress != "" {
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -18,6 +18,7 @@
 	linkUp         linkState = iota
 	linkResets               // connections are reset, new ones are refused
 	linkSilent               // connections stay open and carry nothing, new ones get no answer
+	linkMute                 // new connections are accepted, but none carries anything
 	linkRefusesNew           // connections live on, new ones are refused
 )
 
@@ -142,7 +143,7 @@
 		n, err := from.Read(buffer)
 		for {
 			state, changed := l.stateFor(address)
-			if state != linkSilent {
+			if state != linkSilent && state != linkMute {
 				break
 			}
 			<-changed
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -173,7 +173,9 @@
 	defer cancel()
 	silence := g.watchSilence(req, cancel)
 	defer silence.stop()
+	waiting := g.streams.addWaiting(choice.Target, cancelIfAllowed(cancel, req.state.RetryAllowed()))
 	response, exchangeErr := g.pool.Do(ctx, g.buildRequest(req, remaining))
+	g.streams.removeWaiting(waiting, exchangeErr == nil)
 	if exchangeErr == nil || exchangeErr.MaybeSent {
 		req.sentTo = append(req.sentTo, choice.Target.ID)
 	}
@@ -196,6 +198,14 @@
 	return g.relayBuffered(req, response)
 }
 
+// cancelIfAllowed returns a function, or nil if it must not be called.
+func cancelIfAllowed(cancel func(), allowed bool) func() {
+	if !allowed {
+		return nil
+	}
+	return cancel
+}
+
 // watchSilence starts the timer that cancels an attempt whose first byte does not come, if
 // the request may be retried.
 func (g *Gateway) watchSilence(req *relayedRequest, cancel func()) *silenceTimer {
--- a/internal/gateway/stream_tracker.go
+++ b/internal/gateway/stream_tracker.go
@@ -14,6 +14,14 @@
 	mu       sync.Mutex
 	domains  map[string]*domainStreams
 	services map[string]time.Time // when each service last sent an event, or responded otherwise
+	waiting  map[*waitingRequest]struct{}
+}
+
+// waitingRequest is a request that has been sent and has brought no answer.
+type waitingRequest struct {
+	target *fleet.Target
+	since  time.Time
+	cancel func() // ends the wait; nil if the request must not be sent to another target
 }
 
 // domainStreams are the open streams from the targets of one failure domain.
@@ -32,7 +40,7 @@
 }
 
 func newStreamTracker() *streamTracker {
-	return &streamTracker{domains: make(map[string]*domainStreams), services: make(map[string]time.Time)}
+	return &streamTracker{domains: make(map[string]*domainStreams), services: make(map[string]time.Time), waiting: make(map[*waitingRequest]struct{})}
 }
 
 // add tracks a stream whose response has begun.
@@ -77,6 +85,18 @@
 	t.services[name] = time.Now()
 }
 
+// answeredSince reports whether any target has answered since a time.
+func (t *streamTracker) answeredSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, answeredAt := range t.services {
+		if answeredAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // remove stops tracking a stream that has ended.
 func (t *streamTracker) remove(stream *trackedStream) {
 	t.mu.Lock()
@@ -100,28 +120,60 @@
 	return snapshot
 }
 
-// serviceSnapshot returns the state of all services' streams, the input of
+// addWaiting tracks a request that is sent. Cancel ends its wait; nil if it must not be sent to
+// another target.
+func (t *streamTracker) addWaiting(target *fleet.Target, cancel func()) *waitingRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	request := &waitingRequest{target: target, since: time.Now(), cancel: cancel}
+	t.waiting[request] = struct{}{}
+	return request
+}
+
+// removeWaiting stops tracking a request. Answered says that its target has begun to answer.
+func (t *streamTracker) removeWaiting(request *waitingRequest, answered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, request)
+	if answered {
+		t.services[request.target.Service] = time.Now()
+	}
+}
+
+// serviceSnapshot returns what has been received from the services, the input of
 // cutoff.SilentServices.
-func (t *streamTracker) serviceSnapshot() []cutoff.ServiceStreams {
+func (t *streamTracker) serviceSnapshot(now time.Time) []cutoff.ServiceActivity {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	targets := make(map[string]map[*fleet.Target]struct{})
+	streaming, waiting := make(targetsByService), make(targetsByService)
 	for _, domain := range t.domains {
 		for stream := range domain.streams {
-			if targets[stream.target.Service] == nil {
-				targets[stream.target.Service] = make(map[*fleet.Target]struct{})
-			}
-			targets[stream.target.Service][stream.target] = struct{}{}
+			streaming.add(stream.target)
+		}
+	}
+	for request := range t.waiting {
+		if now.Sub(request.since) >= cutoff.WaitThreshold {
+			waiting.add(request.target)
 		}
 	}
-	var snapshot []cutoff.ServiceStreams
-	for service, streaming := range targets {
-		snapshot = append(snapshot, cutoff.ServiceStreams{Service: service, Targets: len(streaming), LastEvent: t.services[service]})
+	var snapshot []cutoff.ServiceActivity
+	for service, lastAnswer := range t.services {
+		snapshot = append(snapshot, cutoff.ServiceActivity{Service: service, Targets: len(streaming[service]), Waiting: len(waiting[service]), LastAnswer: lastAnswer})
 	}
 	return snapshot
 }
 
-// cancelService cancels the retryable streams of a service and returns their number.
+// targetsByService are sets of targets.
+type targetsByService map[string]map[*fleet.Target]struct{}
+
+func (s targetsByService) add(target *fleet.Target) {
+	if s[target.Service] == nil {
+		s[target.Service] = make(map[*fleet.Target]struct{})
+	}
+	s[target.Service][target] = struct{}{}
+}
+
+// cancelService cancels the retryable streams and waits of a service and returns their number.
 func (t *streamTracker) cancelService(name string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -134,6 +186,12 @@
 			}
 		}
 	}
+	for request := range t.waiting {
+		if request.cancel != nil && request.target.Service == name {
+			request.cancel()
+			cancelled++
+		}
+	}
 	return cancelled
 }
 
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -11,21 +11,22 @@
 	"hemlockknot/internal/coordination/cutoff"
 	"hemlockknot/internal/state/fleet"
 	"hemlockknot/internal/transport/exchange"
+	"hemlockknot/platform"
 )
 
 const (
-	// silentServiceDials is how many targets of a silent service are dialed at once.
-	silentServiceDials = 3
-	// reachProbes is how many targets of a service that is not reached are dialed in each
+	// verifyProbes is how many targets of a silent service are probed at once.
+	verifyProbes = 3
+	// reachProbes is how many targets of a service that is not reached are probed in each
 	// probeInterval.
 	reachProbes = 2
 )
 
-// verifySilentService checks with new connections whether this daemon still reaches a service
-// all of whose streams are silent. If this daemon itself was stalled, or the engines read
-// long prompts, a connection is accepted.
+// verifySilentService checks with probes whether this daemon still reaches a service that is
+// silent. If this daemon itself was stalled, or the engines read long prompts, a probe is
+// answered.
 func (g *Gateway) verifySilentService(ctx context.Context, service string) {
-	if g.reachesAny(ctx, g.coordinator.sampleTargets(service, silentServiceDials), verifyTimeout) {
+	if g.reachesAny(ctx, g.coordinator.sampleTargets(service, verifyProbes), verifyTimeout) {
 		g.streams.recordServiceActivity(service)
 		return
 	}
@@ -36,11 +37,11 @@
 
 // silentServices returns the services all of whose streams are silent.
 func (g *Gateway) silentServices(now time.Time) []string {
-	return cutoff.SilentServices(g.streams.serviceSnapshot(), now)
+	return cutoff.SilentServices(g.streams.serviceSnapshot(now), now)
 }
 
 // recordFailedConnection records that no connection to a target could be opened. If many
-// targets of its service fail, other targets of it are dialed: if none accepts a connection,
+// targets of its service fail, other targets of it are probed: if none answers,
 // the daemon reaches no target of the service.
 func (g *Gateway) recordFailedConnection(target *fleet.Target) {
 	suspected, others := g.coordinator.recordFailedConnection(target)
@@ -58,16 +59,22 @@
 	}()
 }
 
-// reachesOthers reports whether another target of any service accepts a connection, or there
-// is none. If not, this daemon is cut off, which says nothing about the target.
+// reachesOthers reports whether another target of any service answers a probe, or there is
+// none. If not, this daemon is cut off, which says nothing about the target.
 func (g *Gateway) reachesOthers(target *fleet.Target) bool {
-	others := g.coordinator.sampleOtherTargets(target, silentServiceDials)
-	return len(others) == 0 || g.reachesAny(context.Background(), others, verifyTimeout)
+	startedAt := time.Now()
+	others := g.coordinator.sampleOtherTargets(target, verifyProbes)
+	if len(others) == 0 || g.reachesAny(context.Background(), others, verifyTimeout) {
+		return true
+	}
+	// Those that were probed may all be down too, while others answer requests.
+	time.Sleep(verifyTimeout - time.Since(startedAt))
+	return g.streams.answeredSince(startedAt)
 }
 
 // handleUnreached closes the idle connections to a service that is not reached and cancels
 // its streams that may go on elsewhere: other daemons may reach the service. The targets are
-// then probed until one accepts a connection. Other services are checked at once, as a
+// then probed until one answers. Other services are checked at once, as a
 // host that loses one often loses all.
 func (g *Gateway) handleUnreached(service, evidence string) {
 	for _, target := range g.coordinator.serviceTargets(service) {
@@ -86,7 +93,7 @@
 func (g *Gateway) verifyOtherServices() {
 	for _, service := range g.coordinator.reachedServices() {
 		go func() {
-			targets := g.coordinator.sampleTargets(service, silentServiceDials)
+			targets := g.coordinator.sampleTargets(service, verifyProbes)
 			if len(targets) > 1 && !g.reachesAny(context.Background(), targets, exchange.DialTimeout) && g.coordinator.markUnreached(service) {
 				g.handleUnreached(service, "other services are not reached")
 			}
@@ -94,8 +101,7 @@
 	}
 }
 
-// probeUntilReached dials targets of a service until one accepts a connection or the service
-// has no targets left. Then it ends the ejections of all its targets, whose cause was here.
+// probeUntilReached probes targets of a service until one answers or the service has no targets left. Then it ends the ejections of all its targets, whose cause was here.
 func (g *Gateway) probeUntilReached(service string) {
 	started := time.Now()
 	for delay := firstProbeDelay; ; delay = probeInterval {
@@ -115,24 +121,40 @@
 	}
 }
 
-// reachesAny reports whether any of the targets accepts a connection within the timeout.
+// reachesAny reports whether any of the targets answers a probe within the timeout. An open
+// connection alone proves nothing: what lies between may accept it.
 func (g *Gateway) reachesAny(ctx context.Context, targets []*fleet.Target, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var accepted atomic.Bool
+	var answered atomic.Bool
 	var dials sync.WaitGroup
 	for _, target := range targets {
 		dials.Go(func() {
-			g.metrics.countDial()
-			conn, err := g.pool.Dial(ctx, target.Address)
-			if err == nil {
-				accepted.Store(true)
-				_ = conn.Close()
+			if g.answersProbe(ctx, target) {
+				answered.Store(true)
 			}
 		})
 	}
 	dials.Wait()
-	return accepted.Load()
+	return answered.Load()
+}
+
+// answersProbe reports whether a target answers, in any way, a request that no target runs.
+func (g *Gateway) answersProbe(ctx context.Context, target *fleet.Target) bool {
+	g.metrics.countDial()
+	conn, err := g.pool.Dial(ctx, target.Address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	if deadline, set := ctx.Deadline(); set {
+		_ = conn.SetDeadline(deadline) // fails only on a closed connection, as the write then does
+	}
+	if _, err := conn.Write(platform.ProbeRequest(target.Address)); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
 }
 
 // recordFailedConnection records that no connection to a target could be opened. It reports
@@ -142,9 +164,9 @@
 	c.do(func() {
 		candidates := c.placement.Candidates(target.Service)
 		suspected = c.reach.RecordFailure(target.Service, target.ID, len(candidates), time.Now())
-		others = slices.DeleteFunc(candidates, func(other *fleet.Target) bool { return c.reach.Failed(other.Service, other.ID) })
+		others = slices.DeleteFunc(c.withoutLimits(candidates), func(other *fleet.Target) bool { return c.reach.Failed(other.Service, other.ID) })
 	})
-	return suspected, sample(others, silentServiceDials)
+	return suspected, sample(others, verifyProbes)
 }
 
 // recordReached records that a target has answered.
@@ -219,7 +241,7 @@
 // sampleTargets returns random targets of a service that take new work, at most count.
 func (c *coordinator) sampleTargets(service string, count int) []*fleet.Target {
 	var targets []*fleet.Target
-	c.do(func() { targets = c.placement.Candidates(service) })
+	c.do(func() { targets = c.withoutLimits(c.placement.Candidates(service)) })
 	return sample(targets, count)
 }
 
@@ -232,10 +254,24 @@
 				others = append(others, member.Target)
 			}
 		}
+		others = c.withoutLimits(others)
 	})
 	return sample(others, count)
 }
 
+// withoutLimits returns the targets that have not asked for fewer requests, or all if there
+// is none. The caller must run on the coordinator's goroutine.
+func (c *coordinator) withoutLimits(targets []*fleet.Target) []*fleet.Target {
+	now := time.Now()
+	unlimited := slices.DeleteFunc(slices.Clone(targets), func(target *fleet.Target) bool {
+		return c.limits.Limited(c.incarnation(target.ID)) || c.outlier.Refusing(target.ID, now)
+	})
+	if len(unlimited) == 0 {
+		return targets
+	}
+	return unlimited
+}
+
 // sample returns random ones of the targets, at most count. It changes their order.
 func sample(targets []*fleet.Target, count int) []*fleet.Target {
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
--- a/internal/gateway/unreached_targets_test.go
+++ b/internal/gateway/unreached_targets_test.go
@@ -183,6 +183,7 @@
 	}{
 		{"two of five, connections are reset", linkResets, 2},
 		{"two of five, connections are silent", linkSilent, 2},
+		{"two of five, connections are accepted and silent", linkMute, 2},
 		{"two of five, only new connections are refused", linkRefusesNew, 2},
 		{"four of five, connections are reset", linkResets, 4},
 		{"four of five, connections are silent", linkSilent, 4},
