Soak: daemons that reach no target, all daemons killed at once, brittle targets

Each daemon reaches the store and the targets by a link of its own, which resets, mutes or refuses connections. A run that fails keeps all log lines of the daemons.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -34,6 +34,9 @@
 	{"a request crashes targets", (*soakRun).crashOnRequest},
 	{"a release of the engines' software begins", (*soakRun).beginRelease},
 	{"a target names a limit", (*soakRun).limitTarget},
+	{"daemons reach no target", (*soakRun).cutOffDaemons},
+	{"all daemons are killed at once", (*soakRun).killAllDaemons},
+	{"plain targets are brittle", (*soakRun).makeBrittle},
 }
 
 // Range of the duration of a fault. The pause between two faults and the pause before
@@ -61,6 +64,56 @@
 	s.startDaemon(daemon)
 }
 
+// killAllDaemons kills all daemons and starts them again.
+func (s *soakRun) killAllDaemons() {
+	s.daemonDownMu.Lock()
+	defer s.daemonDownMu.Unlock()
+	defer s.recordDisturbance()
+	for _, daemon := range s.daemons {
+		daemon.kill()
+	}
+	time.Sleep(s.randomDuration(minFaultDuration))
+	for _, daemon := range s.daemons {
+		s.startDaemon(daemon)
+	}
+}
+
+// Figures of brittle targets.
+const (
+	brittleRejections = 4                     // that a target bears in a second
+	brittleRoom       = 20                    // requests at the same time, before the notice is over
+	brittleWork       = 20 * time.Millisecond // of each request
+	brittleDuration   = 3 * time.Second       // after the notice
+	maxFallsShare     = 10                    // 2 + a tenth of the targets may fall over
+)
+
+// makeBrittle makes all plain targets brittle for a while.
+func (s *soakRun) makeBrittle() {
+	s.brittleMu.Lock() // another such fault would replace the room of the targets
+	defer s.brittleMu.Unlock()
+	s.mu.Lock()
+	var brittle []*target
+	for _, target := range s.liveTargets {
+		if target.service == deskService {
+			brittle = append(brittle, target)
+		}
+	}
+	s.mu.Unlock()
+	startedAt := time.Now()
+	for _, target := range brittle {
+		target.SetBrittle(brittleRejections, brittleRoom, 1+s.randomInt(brittleRoom), spreadTimeout, brittleWork)
+	}
+	time.Sleep(spreadTimeout + brittleDuration)
+	falls := 0
+	for _, target := range brittle {
+		falls += target.Falls()
+		target.EndBrittle()
+	}
+	if allowed := 2 + len(brittle)/maxFallsShare; falls > allowed && s.undisturbedSince(startedAt) {
+		s.addViolation(fmt.Sprintf("%d brittle targets fell over %d times, %d allowed", len(brittle), falls, allowed))
+	}
+}
+
 // startDaemon starts a daemon whose seed peers are the other started daemons.
 func (s *soakRun) startDaemon(daemon *daemon) {
 	var peerAddresses []string
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -29,6 +29,7 @@
 // daemon is a member of the fleet. Its process is replaced at each restart.
 type daemon struct {
 	name         string
+	link         *targetLink
 	storeAddress string
 	settingsPath string
 
@@ -43,7 +44,8 @@
 }
 
 func newDaemon(t *testing.T, name, storeAddress string) *daemon {
-	return &daemon{name: name, storeAddress: storeAddress, settingsPath: filepath.Join(t.TempDir(), name+".conf")}
+	link := newTargetLink(t, storeAddress)
+	return &daemon{name: name, link: link, storeAddress: link.storeAddress(), settingsPath: filepath.Join(t.TempDir(), name+".conf")}
 }
 
 // start starts the process with the given seed peers. The process listens on new ports
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -73,6 +75,7 @@
 	daemons      []*daemon
 	callers      []*caller
 	daemonDownMu sync.Mutex // held while a fault keeps a daemon down or suspended
+	brittleMu    sync.Mutex // held while a fault makes targets brittle
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -178,6 +181,7 @@
 	s.store.SetMode(standin.StoreServing)
 	for _, target := range s.targets {
 		target.InjectFaults()
+		target.EndBrittle()
 	}
 	recoveryCaller := newCaller(callerCount, 0, s.daemons)
 	s.callers = append(s.callers, recoveryCaller)
@@ -231,6 +235,22 @@
 	return violations
 }
 
+// keepLogs writes all log lines of the daemons to files that outlive the test.
+func (s *soakRun) keepLogs(seed uint64) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("hemlockknot-soak-seed-%d-", seed))
+	if err != nil {
+		s.t.Log("logs are not kept:", err)
+		return
+	}
+	for _, daemon := range s.daemons {
+		path := filepath.Join(dir, daemon.name+".log")
+		if err := os.WriteFile(path, []byte(strings.Join(daemon.lastLogLines(math.MaxInt), "\n")), 0o600); err != nil {
+			s.t.Log("log is not kept:", err)
+		}
+	}
+	s.t.Log("logs kept in", dir)
+}
+
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
@@ -243,6 +263,7 @@
 				for _, daemon := range s.daemons {
 					t.Log(strings.Join(daemon.lastLogLines(40), "\n"))
 				}
+				s.keepLogs(seed)
 			}
 			must.SliceEmpty(t, violations, must.Sprint("seed ", seed, ": ", strings.Join(violations, "\n")))
 		})
