Soak: all daemons know a target by one address

The fault was the soak's. One link a target now tells the daemons apart by the process at the other end.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -154,7 +154,7 @@
 	defer s.mu.Unlock()
 	s.writeDocument()
 	for _, target := range s.liveTargets {
-		s.store.Put(platform.KindTargets, target.ID, target.Spec(target.service, "north", "ready"))
+		s.putTarget(target, "ready")
 	}
 }
 
@@ -188,7 +188,7 @@
 func (s *soakRun) drainTarget() {
 	drained := s.removeRandomTarget()
 	s.addTarget(drained.service)
-	s.store.Put(platform.KindTargets, drained.ID, drained.Spec(drained.service, "north", "draining"))
+	s.putTarget(drained, "draining")
 	drained.SetLeaving()
 	time.Sleep(maxFaultDuration)
 	s.store.Delete(platform.KindTargets, drained.ID)
@@ -241,5 +241,13 @@
 	}
 	s.targets = append(s.targets, added)
 	s.liveTargets = append(s.liveTargets, added)
-	s.store.Put(platform.KindTargets, id, added.Spec(service, "north", "ready"))
+	added.link = s.links.link(added.Spec(service, "north", "ready")["address"].(string), func() []*daemon { return s.daemons })
+	s.putTarget(added, "ready")
+}
+
+// putTarget writes a target's entry, with the address of its link.
+func (s *soakRun) putTarget(target *target, state string) {
+	spec := target.Spec(target.service, "north", state)
+	spec["address"] = target.link
+	s.store.Put(platform.KindTargets, target.ID, spec)
 }
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -1,20 +1,18 @@
 package soak
 
 import (
-	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
-	"regexp"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 )
 
-// linkState is what a daemon's link to the targets does.
+// linkState is what a daemon's path to the targets does.
 type linkState int
 
 const (
@@ -24,42 +22,47 @@
 	linkRefusesNew           // connections live on, new ones are reset
 )
 
-// targetLink is the path from one daemon to all targets. The daemon gets the store's list by
-// way of it, with an address of the link in place of each target's.
-type targetLink struct {
-	t     *testing.T
-	store string // address
-	view  *httptest.Server
-
-	mu        sync.Mutex
-	state     linkState
-	changed   chan struct{}     // closed at the next change of state
-	addresses map[string]string // of the link, by the target's
-	conns     map[net.Conn]struct{}
+// targetLinks are the paths from all daemons to the targets. All daemons know a target by
+// the same address, that of its link; the link tells the daemons apart by the process that
+// owns the other end of a connection.
+type targetLinks struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	states  map[*daemon]linkState // of the daemons that do not reach the targets
+	changed chan struct{}         // closed at the next change of states
+	conns   map[*linkedConn]struct{}
 }
 
-func newTargetLink(t *testing.T, storeAddress string) *targetLink {
-	l := &targetLink{t: t, store: storeAddress, changed: make(chan struct{}), addresses: make(map[string]string), conns: make(map[net.Conn]struct{})}
-	l.view = httptest.NewServer(http.HandlerFunc(l.passStoreCall))
-	t.Cleanup(l.view.Close)
-	return l
+// linkedConn is a connection of a daemon to a link.
+type linkedConn struct {
+	net.Conn
+	owner func() *daemon // nil if no daemon owns it
 }
 
-// storeAddress returns the address at which the daemon reaches the store.
-func (l *targetLink) storeAddress() string { return strings.TrimPrefix(l.view.URL, "http://") }
+func newTargetLinks(t *testing.T) *targetLinks {
+	return &targetLinks{t: t, states: make(map[*daemon]linkState), changed: make(chan struct{}), conns: make(map[*linkedConn]struct{})}
+}
 
-// set changes what the link does.
-func (l *targetLink) set(state linkState) {
+// set changes what the paths from some daemons do.
+func (l *targetLinks) set(daemons []*daemon, state linkState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state = state
+	for _, daemon := range daemons {
+		l.states[daemon] = state
+		if state == linkUp {
+			delete(l.states, daemon)
+		}
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 	if state != linkResets {
 		return
 	}
 	for conn := range l.conns {
-		reset(conn)
+		if owner := conn.owner(); owner != nil && l.states[owner] == linkResets {
+			reset(conn.Conn)
+		}
 	}
 }
 
@@ -68,76 +71,38 @@
 	_ = conn.Close()
 }
 
-// current returns what the link does, and a channel that is closed when that changes.
-func (l *targetLink) current() (linkState, <-chan struct{}) {
+// stateOf returns what the path of a connection does, and a channel that is closed when that
+// may have changed.
+func (l *targetLinks) stateOf(conn *linkedConn) (linkState, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state, l.changed
-}
-
-var addressField = regexp.MustCompile(`"address":"([^"]+)"`)
-
-// passStoreCall passes a call of the daemon to the store, and replaces the targets' addresses
-// in the answer.
-func (l *targetLink) passStoreCall(w http.ResponseWriter, r *http.Request) {
-	call, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+l.store+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+	if len(l.states) == 0 {
+		return linkUp, l.changed // its owner need not be looked up
 	}
-	response, err := http.DefaultClient.Do(call)
-	if err != nil {
-		panic(http.ErrAbortHandler) // the store has closed the connection
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	body = addressField.ReplaceAllFunc(body, func(field []byte) []byte {
-		target := string(addressField.FindSubmatch(field)[1])
-		return bytes.Replace(field, []byte(target), []byte(l.addressFor(target)), 1)
-	})
-	for name, values := range response.Header {
-		if name != "Content-Length" {
-			w.Header()[name] = values
-		}
-	}
-	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(body)
+	return l.states[conn.owner()], l.changed
 }
 
-// addressFor returns the link's address for a target.
-func (l *targetLink) addressFor(target string) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.addresses[target] == "" {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		l.t.Cleanup(func() { _ = listener.Close() })
-		l.addresses[target] = listener.Addr().String()
-		go l.accept(listener, target)
+// link returns the address of a new link to a target. Daemons are those that may use it.
+func (l *targetLinks) link(target string, daemons func() []*daemon) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
 	}
-	return l.addresses[target]
-}
-
-func (l *targetLink) accept(listener net.Listener, target string) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		if state, _ := l.current(); state == linkResets || state == linkRefusesNew {
-			reset(conn)
-			continue
+	l.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			linked := &linkedConn{Conn: conn, owner: sync.OnceValue(func() *daemon { return ownerOf(conn, daemons()) })}
+			go l.forward(linked, listener, target)
 		}
-		go l.forward(conn, listener, target)
-	}
+	}()
+	return listener.Addr().String()
 }
 
-// closeIfDown closes the link's listener for a target that accepts no connections, so that the
+// closeIfDown closes a link's listener if its target accepts no connections, so that the
 // link refuses them too.
 func closeIfDown(listener net.Listener, target string) {
 	conn, err := net.Dial("tcp", target)
@@ -148,35 +113,39 @@
 	_ = conn.Close()
 }
 
-// forward carries the bytes of a connection while the link is up.
-func (l *targetLink) forward(conn net.Conn, listener net.Listener, address string) {
+// forward carries the bytes of a connection while its path does.
+func (l *targetLinks) forward(conn *linkedConn, listener net.Listener, address string) {
+	if state, _ := l.stateOf(conn); state == linkResets || state == linkRefusesNew {
+		reset(conn.Conn)
+		return
+	}
 	target, err := net.Dial("tcp", address)
 	if err != nil {
 		_ = listener.Close()
-		reset(conn)
+		reset(conn.Conn)
 		return
 	}
 	l.mu.Lock()
 	l.conns[conn] = struct{}{}
 	l.mu.Unlock()
 	var copies sync.WaitGroup
-	copies.Go(func() { l.copy(target, conn, func() {}) })
-	copies.Go(func() { l.copy(conn, target, func() { closeIfDown(listener, address) }) })
+	copies.Go(func() { l.copy(conn, target, conn.Conn, func() {}) })
+	copies.Go(func() { l.copy(conn, conn.Conn, target, func() { closeIfDown(listener, address) }) })
 	copies.Wait()
 	l.mu.Lock()
 	delete(l.conns, conn)
 	l.mu.Unlock()
 }
 
-// copy copies bytes from one connection to another while the link carries them. At the end it
-// calls atEnd and closes both, as neither end half-closes its connections, and resets them if
-// one was reset.
-func (l *targetLink) copy(to, from net.Conn, atEnd func()) {
+// copy copies bytes from one end to another while the path of the connection carries them. At
+// the end it calls atEnd and closes both, as neither end half-closes its connections, and
+// resets them if one was reset.
+func (l *targetLinks) copy(conn *linkedConn, to, from net.Conn, atEnd func()) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		for state, changed := l.current(); state == linkMute; state, changed = l.current() {
+		for state, changed := l.stateOf(conn); state == linkMute; state, changed = l.stateOf(conn) {
 			<-changed
 		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
@@ -192,16 +161,58 @@
 	}
 }
 
+// ownerOf returns the daemon whose process holds the other end of a connection, nil if none
+// does.
+func ownerOf(conn net.Conn, daemons []*daemon) *daemon {
+	remote, local := conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port
+	inode := socketInode(remote, local)
+	for _, daemon := range daemons {
+		if inode != "" && holdsSocket(daemon.pid(), inode) {
+			return daemon
+		}
+	}
+	return nil
+}
+
+// socketInode returns the inode of the loopback socket between two ports, "" if there is none.
+func socketInode(local, remote int) string {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(table)) {
+		const localField, remoteField, inodeField = 1, 2, 9 // as proc(5) names them
+		fields := strings.Fields(line)
+		if len(fields) > inodeField && strings.HasSuffix(fields[localField], fmt.Sprintf(":%04X", local)) &&
+			strings.HasSuffix(fields[remoteField], fmt.Sprintf(":%04X", remote)) {
+			return fields[inodeField]
+		}
+	}
+	return ""
+}
+
+// holdsSocket reports whether a process has a socket open.
+func holdsSocket(pid int, inode string) bool {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, entry := range entries {
+		if name, err := os.Readlink(dir + entry.Name()); err == nil && name == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
 // cutOffDaemons makes some daemons, all at times, reach no target for a while.
 func (s *soakRun) cutOffDaemons() {
-	state := []linkState{linkResets, linkMute, linkRefusesNew}[s.randomInt(3)]
+	s.cutMu.Lock() // the end of one cut would end another one
+	defer s.cutMu.Unlock()
+	defer s.recordDisturbance()
 	cut := s.daemons[:1+s.randomInt(len(s.daemons))]
-	for _, daemon := range cut {
-		daemon.link.set(state)
-	}
+	s.links.set(cut, []linkState{linkResets, linkMute, linkRefusesNew}[s.randomInt(3)])
 	time.Sleep(s.randomFaultDuration())
-	for _, daemon := range cut {
-		daemon.link.set(linkUp)
-	}
-	s.recordDisturbance()
+	s.links.set(cut, linkUp)
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -29,7 +29,6 @@
 // daemon is a member of the fleet. Its process is replaced at each restart.
 type daemon struct {
 	name         string
-	link         *targetLink
 	storeAddress string
 	settingsPath string
 
@@ -44,8 +43,7 @@
 }
 
 func newDaemon(t *testing.T, name, storeAddress string) *daemon {
-	link := newTargetLink(t, storeAddress)
-	return &daemon{name: name, link: link, storeAddress: link.storeAddress(), settingsPath: filepath.Join(t.TempDir(), name+".conf")}
+	return &daemon{name: name, storeAddress: storeAddress, settingsPath: filepath.Join(t.TempDir(), name+".conf")}
 }
 
 // start starts the process with the given seed peers. The process listens on new ports
@@ -144,6 +142,13 @@
 	return d.peerAddress
 }
 
+// pid returns the id of the current process.
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
+
 // lastLogLines returns up to count of the last log lines.
 func (d *daemon) lastLogLines(count int) []string {
 	d.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,6 +65,7 @@
 type target struct {
 	*standin.Target
 	service string
+	link    string // address at which daemons reach it
 }
 
 // soakRun is the soak test of one seed: the daemons, callers and stand-ins, and the
@@ -76,6 +77,8 @@
 	callers      []*caller
 	daemonDownMu sync.Mutex // held while a fault keeps a daemon down or suspended
 	brittleMu    sync.Mutex // held while a fault makes targets brittle
+	cutMu        sync.Mutex // held while a fault cuts daemons off from the targets
+	links        *targetLinks
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -92,7 +95,7 @@
 
 // startSoakRun starts the fleet and waits until every daemon has started.
 func startSoakRun(t *testing.T, seed uint64) *soakRun {
-	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0)), limited: make(map[*target]bool)}
+	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0)), limited: make(map[*target]bool), links: newTargetLinks(t)}
 	t.Cleanup(s.store.Close)
 	s.publishDocument()
 	for range targetsPerService {
