--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
 )
 
@@ -212,3 +213,45 @@
 		}
 	})
 }
+
+func TestDaemonThatDoesNotReachTheOnlyTargetOfAServiceForwards(t *testing.T) {
+	fleet := newLinkedFleet(t, 3)
+	for _, target := range fleet.targets[linkedEngines+1:] {
+		fleet.daemons[0].store.Delete(platform.KindTargets, target.ID)
+	}
+	for _, daemon := range fleet.daemons {
+		daemon.within(recoveryTimeout, func() bool { return daemon.rosterSize() == linkedEngines+1 })
+	}
+	for _, state := range []linkState{linkResets, linkSilent} {
+		fleet.cut(1, state)
+		for i := range 20 {
+			must.True(t, fleet.call(0, "/bookings/1", fmt.Sprint("only-", state, "-", i)))
+		}
+		fleet.cut(1, linkUp)
+		fleet.daemons[0].within(recoveryTimeout, func() bool { return len(fleet.daemons[0].daemon.coordinator.unreachedServices()) == 0 })
+	}
+	fleet.noneRanTwice()
+}
+
+// A booking may have run when its host is cut off: it must not be sent again, and the caller
+// must not be told that it has not run.
+func TestBookingInFlightAtTheOnsetOfACutIsNotSentAgain(t *testing.T) {
+	for _, state := range []linkState{linkResets, linkSilent, linkMute} {
+		t.Run(fmt.Sprint("link state ", state), func(t *testing.T) {
+			fleet := newLinkedFleet(t, 3)
+			for _, target := range fleet.targets[linkedEngines:] {
+				target.InjectFaults(standin.HangAfterRun)
+			}
+			status := make(chan int, 1)
+			go func() {
+				code, _, _ := fleet.daemons[0].do(standin.CallerRequest{Method: "POST", Path: "/bookings/1", ID: "in-flight", DeadlineMs: "1000"})
+				status <- code
+			}()
+			fleet.daemons[0].eventually(func() bool { return countRuns("in-flight", fleet.targets...) == 1 })
+			fleet.cut(1, state)
+			code := <-status
+			must.True(t, code == http.StatusBadGateway || code == http.StatusGatewayTimeout, must.Sprint(code))
+			must.Eq(t, 1, countRuns("in-flight", fleet.targets...))
+		})
+	}
+}
--- a/internal/gateway/unreached_targets_test.go
+++ b/internal/gateway/unreached_targets_test.go
@@ -177,20 +177,22 @@
 // other hosts reached the targets.
 func TestHostThatReachesNoTargetServesThroughOthers(t *testing.T) {
 	cases := []struct {
-		name  string
-		state linkState
-		cut   int
+		name    string
+		state   linkState
+		cut     int // of the daemons
+		daemons int
 	}{
-		{"two of five, connections are reset", linkResets, 2},
-		{"two of five, connections are silent", linkSilent, 2},
-		{"two of five, connections are accepted and silent", linkMute, 2},
-		{"two of five, only new connections are refused", linkRefusesNew, 2},
-		{"four of five, connections are reset", linkResets, 4},
-		{"four of five, connections are silent", linkSilent, 4},
+		{"two of five, connections are reset", linkResets, 2, 5},
+		{"two of five, connections are silent", linkSilent, 2, 5},
+		{"two of five, connections are accepted and silent", linkMute, 2, 5},
+		{"two of five, only new connections are refused", linkRefusesNew, 2, 5},
+		{"four of five, connections are reset", linkResets, 4, 5},
+		{"nine of ten, connections are reset", linkResets, 9, 10},
+		{"four of five, connections are silent", linkSilent, 4, 5},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			fleet := newLinkedFleet(t, 5)
+			fleet := newLinkedFleet(t, c.daemons)
 			for i, result := range fleet.callAll(time.Second) {
 				must.Eq(t, result.sent, result.served, must.Sprint("daemon ", i, " before the cut"))
 			}
