--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -15,10 +15,15 @@
 	"hemlockknot/platform"
 )
 
-// maxForwardedRequests limits the requests of other daemons that are served at the same
-// time. The largest rate of the target size is 130 requests per second and daemon, which last
-// up to 4 s.
-const maxForwardedRequests = 512
+const (
+	// maxForwardedRequests limits the requests of other daemons that are served at the same
+	// time. The largest rate of the target size is 130 requests per second and daemon, which
+	// last up to 4 s.
+	maxForwardedRequests = 512
+	// maxForwardedBody limits the body of a forwarded request, in bytes. The daemon that
+	// received it has applied the configuration's limit.
+	maxForwardedBody = 64 << 20
+)
 
 // listenForward opens the listener for forwarded requests, on the first port of the
 // daemons' own range that is free.
@@ -62,7 +67,7 @@
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "peer_busy"}, forward.Unreached, 0)
 		return
 	}
-	if req.body, err = req.buffers.readAll(r.Body, defaultMaxForwardedBody); err != nil {
+	if req.body, err = req.buffers.readAll(r.Body, maxForwardedBody); err != nil {
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "no_buffer_space"}, forward.Unreached, 0)
 		return
 	}
@@ -70,10 +75,6 @@
 	g.relayForwarded(req)
 }
 
-// defaultMaxForwardedBody limits the body of a forwarded request. The daemon that received it
-// has applied the configuration's limit.
-const defaultMaxForwardedBody = 64 << 20
-
 // relayForwarded makes attempts until one reaches a target, and answers the daemon that has
 // passed the request on.
 func (g *Gateway) relayForwarded(incoming *callerRequest) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,6 +26,9 @@
 	// and the deadline in the request's header is too late. Opening a connection takes
 	// up to exchange.DialTimeout.
 	choiceLifetime = 400 * time.Millisecond
+	// minDispatchTime is the least time that a target is given. Without any it would set no
+	// deadline.
+	minDispatchTime = time.Millisecond
 	// responseSlack is how long after the request's deadline the response of a target
 	// is still accepted.
 	responseSlack = 50 * time.Millisecond
@@ -118,12 +121,11 @@
 	return req.choice.Target.ID
 }
 
-// attemptOnce sends the request to one target. It forwards the events of a stream, or a
-// complete response that is final, to the caller at once.
+// attemptOnce makes one attempt: at a target, or by way of another daemon if this one reaches
+// none. It forwards the events of a stream, or a complete response that is final, to the caller
+// at once.
 func (g *Gateway) attemptOnce(req *relayedRequest) attempt.Outcome {
-	remaining := time.Until(req.deadline)
-	if remaining <= 0 {
-		req.reason = "out_of_time"
+	if outOfTime(req) {
 		return attempt.DeadlineExceeded
 	}
 	req.via = ""
@@ -136,36 +138,65 @@
 			return attempt.NoTarget
 		}
 	}
-	choice, promptRead := g.coordinator.chooseTarget(req, true)
-	if promptRead != nil {
-		g.awaitPromptRead(req.r.Context(), req, promptRead)
-		g.metrics.countPromptWait()
-		if remaining = time.Until(req.deadline); remaining <= 0 {
-			req.reason = "out_of_time"
-			return attempt.DeadlineExceeded
-		}
-		choice, _ = g.coordinator.chooseTarget(req, false)
-	}
-	if req.hold != nil {
+	choice := g.chooseTarget(req)
+	switch {
+	case choice.Target != nil:
+		return g.sendToTarget(req, choice)
+	case req.hold != nil:
 		req.reason = "part_held_back"
 		if req.hold.IsRequest {
 			req.reason = "request_held_back"
 		}
 		return attempt.HeldBack
+	case outOfTime(req):
+		return attempt.DeadlineExceeded
 	}
-	if choice.Target == nil {
-		if outcome, made := g.forwardUnlessLimited(req); made {
-			return outcome
-		}
-		req.reason = "no_target"
-		if g.coordinator.atLimit(req.service) {
-			req.reason = reasonAtLimit
-		}
-		if req.versionPinned {
-			req.reason = reasonNoTargetOfVersion
-		}
-		return attempt.NoTarget
+	return g.handleNoTarget(req)
+}
+
+// outOfTime reports whether the request's deadline has passed, and sets its reason if so.
+func outOfTime(req *relayedRequest) bool {
+	if time.Until(req.deadline) > 0 {
+		return false
 	}
+	req.reason = "out_of_time"
+	return true
+}
+
+// chooseTarget chooses the target of the request's next attempt. It waits while the target
+// reads the prompt of the request's session for another request.
+func (g *Gateway) chooseTarget(req *relayedRequest) placement.Choice {
+	choice, promptRead := g.coordinator.chooseTarget(req, true)
+	if promptRead == nil {
+		return choice
+	}
+	g.awaitPromptRead(req.r.Context(), req, promptRead)
+	g.metrics.countPromptWait()
+	if time.Until(req.deadline) <= 0 {
+		return placement.Choice{}
+	}
+	choice, _ = g.coordinator.chooseTarget(req, false)
+	return choice
+}
+
+// handleNoTarget makes an attempt by way of another daemon if that may find a target, and
+// sets the request's reason otherwise.
+func (g *Gateway) handleNoTarget(req *relayedRequest) attempt.Outcome {
+	if outcome, made := g.forwardUnlessLimited(req); made {
+		return outcome
+	}
+	req.reason = "no_target"
+	if g.coordinator.atLimit(req.service) {
+		req.reason = reasonAtLimit
+	}
+	if req.versionPinned {
+		req.reason = reasonNoTargetOfVersion
+	}
+	return attempt.NoTarget
+}
+
+// sendToTarget sends the request to the chosen target.
+func (g *Gateway) sendToTarget(req *relayedRequest, choice placement.Choice) attempt.Outcome {
 	req.choice, req.chosenAt = choice, time.Now()
 	req.attempts++
 	req.triedTargets[choice.Target.ID] = true
@@ -174,7 +205,7 @@
 	silence := g.watchSilence(req, cancel)
 	defer silence.stop()
 	waiting := g.streams.addWaiting(choice.Target, cancelIfAllowed(cancel, req.state.RetryAllowed()))
-	response, exchangeErr := g.pool.Do(ctx, g.buildRequest(req, remaining))
+	response, exchangeErr := g.pool.Do(ctx, g.buildRequest(req, max(time.Until(req.deadline), minDispatchTime)))
 	g.streams.removeWaiting(waiting, exchangeErr == nil)
 	if exchangeErr == nil || exchangeErr.MaybeSent {
 		req.sentTo = append(req.sentTo, choice.Target.ID)
