--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -53,18 +53,24 @@
 
 // canForward reports whether another daemon may make an attempt for the request.
 func (g *Gateway) canForward(req *relayedRequest) bool {
-	return req.forwarded == nil && len(req.triedForwarders) < maxForwards && len(g.peers.forwarders(req)) > 0
+	return len(g.forwarders(req)) > 0
+}
+
+// forwarders returns the daemons that may make the next attempt for the request.
+func (g *Gateway) forwarders(req *relayedRequest) []forwarder {
+	if req.forwarded != nil || len(req.triedForwarders) >= maxForwards {
+		return nil
+	}
+	return g.peers.forwarders(req)
 }
 
 // forwardAttempt makes one attempt by way of another daemon. It returns false if no daemon
 // could take the request.
 func (g *Gateway) forwardAttempt(req *relayedRequest) (outcome attempt.Outcome, made bool) {
-	for g.canForward(req) {
-		if time.Until(req.deadline) <= 0 {
-			req.reason = "out_of_time"
+	for candidates := g.forwarders(req); len(candidates) > 0; candidates = g.forwarders(req) {
+		if outOfTime(req) {
 			return attempt.DeadlineExceeded, true
 		}
-		candidates := g.peers.forwarders(req)
 		chosen := candidates[rand.IntN(len(candidates))]
 		req.triedForwarders = append(req.triedForwarders, chosen.name)
 		if outcome, made = g.forwardTo(req, chosen); made {
