Soak: daemons that are all killed find each other again; the record pauses after failed calls

They start one after the other now. A daemon that cannot write the record of streams waits 0.2 s before the next call of the store; it made up to 20 a second.

--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -37,7 +37,7 @@
 	// waits versionRecordDelay for those before it.
 	versionRecorders   = 3
 	versionRecordDelay = 2 * time.Second
-	// recordRetryDelay is the pause after a failed attempt to read the record.
+	// recordRetryDelay is the pause after a failed call.
 	recordRetryDelay = 200 * time.Millisecond
 	// minRecordReload is the time between two reads of the origins for callers whose streams
 	// are not known otherwise.
@@ -206,6 +206,7 @@
 	if rank > 0 {
 		if _, err := r.loadVersions(ctx); err != nil {
 			r.gateway.log.Info("record of streams cannot be read", "error", err)
+			sleep(ctx, recordRetryDelay)
 			return since
 		}
 		unrecorded = r.unrecorded() // without what the daemons before this one have written
@@ -213,6 +214,7 @@
 	for service, versions := range unrecorded {
 		if err := r.gateway.store.Put(ctx, kindVersions, service, storedVersions{versions}); err != nil {
 			r.gateway.log.Warn("versions of a service cannot be recorded", "service", service, "error", err)
+			sleep(ctx, recordRetryDelay)
 			continue
 		}
 		r.gateway.log.Warn("versions of a service recorded", "service", service, "versions", fmt.Sprint(versions))
@@ -243,8 +245,9 @@
 		err = r.gateway.store.Put(ctx, kindOrigins, fmt.Sprintf("%s-%d", r.gateway.settings.Host, slot), storedOrigins{encoded})
 	}
 	if err != nil {
-		r.gateway.log.Warn("origins of streams cannot be recorded", "streams", len(origins), "error", err)
+		r.gateway.log.Info("origins of streams cannot be recorded", "streams", len(origins), "error", err)
 		c.do(func() { c.origins.RecordLater(origins) })
+		sleep(ctx, recordRetryDelay)
 	}
 	return true
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"time"
 
+	"github.com/shoenig/test/wait"
+
 	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
 )
@@ -64,7 +66,8 @@
 	s.startDaemon(daemon)
 }
 
-// killAllDaemons kills all daemons and starts them again.
+// killAllDaemons kills all daemons and starts them again, one after the other: each has
+// another address then, and only those that run can tell a later one theirs.
 func (s *soakRun) killAllDaemons() {
 	s.daemonDownMu.Lock()
 	defer s.daemonDownMu.Unlock()
@@ -75,6 +78,9 @@
 	time.Sleep(s.randomDuration(minFaultDuration))
 	for _, daemon := range s.daemons {
 		s.startDaemon(daemon)
+		if err := wait.InitialSuccess(wait.BoolFunc(func() bool { return daemon.currentCallerAddress() != "" }), wait.Timeout(recoveryTimeout)).Run(); err != nil {
+			s.addViolation(daemon.name + " did not start")
+		}
 	}
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -35,7 +35,7 @@
 	mu              sync.Mutex
 	cmd             *exec.Cmd
 	callerAddress   string // empty until the process logs it
-	peerAddress     string // for other daemons
+	peerAddress     string // for other daemons; empty until the process logs it
 	logLines        []string
 	exited          chan struct{}
 	stopping        bool     // SIGTERM or SIGKILL was sent
@@ -68,7 +68,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	d.cmd, d.callerAddress, d.exited = cmd, "", make(chan struct{})
+	d.cmd, d.callerAddress, d.peerAddress, d.exited = cmd, "", "", make(chan struct{})
 	exited := d.exited
 	go func() {
 		defer close(exited)
@@ -135,7 +135,8 @@
 	return d.callerAddress
 }
 
-// currentPeerAddress returns the last known address for other daemons.
+// currentPeerAddress returns the address for other daemons. It is empty as long as that for
+// callers.
 func (d *daemon) currentPeerAddress() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
