A service counts as reached with the first answer to a request

A service of whose targets few are up stayed unreached until a random probe met one of them; an answer to a request, of which each tries one target, ends that now. One round of probes in eight may go to targets that have asked for fewer requests: probes avoided them even if they were the only ones that were up.

--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -24,7 +24,7 @@
 
 // Tracker tracks which services this daemon reaches. It is not safe for concurrent use.
 //
-// Invariant: a service that is not reached stays so until MarkReached is called.
+// Invariant: a service that is not reached stays so until RecordAnswer is called.
 type Tracker struct {
 	failures  map[string]map[string]time.Time // by service and target: the last failed connection
 	unreached map[string]bool                 // by service
@@ -62,10 +62,12 @@
 	return failed
 }
 
-// RecordAnswer records that a target of a service has answered, which discards the failures
-// before it. A service that is not reached stays so: the answer may have come on a connection
-// that outlived the path for new ones.
-func (t *Tracker) RecordAnswer(service string) { delete(t.failures, service) }
+// RecordAnswer records that a target of a service has answered a request or a probe that was
+// sent since the service was last found not to be reached.
+func (t *Tracker) RecordAnswer(service string) {
+	delete(t.unreached, service)
+	delete(t.failures, service)
+}
 
 // MarkUnreached records that no target of a service is reached, and reports whether this is
 // new.
@@ -77,12 +79,6 @@
 	return true
 }
 
-// MarkReached records that a target of a service has accepted a connection.
-func (t *Tracker) MarkReached(service string) {
-	delete(t.unreached, service)
-	delete(t.failures, service)
-}
-
 // Unreached reports whether no target of a service is reached.
 func (t *Tracker) Unreached(service string) bool { return t.unreached[service] }
 
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -20,6 +20,9 @@
 	// reachProbes is how many targets of a service that is not reached are probed in each
 	// probeInterval.
 	reachProbes = 2
+	// roundsForAll is the number of rounds of probes of which one may go to targets that have
+	// asked for fewer requests: they may be the only ones that are up.
+	roundsForAll = 8
 )
 
 // verifySilentService checks with probes whether this daemon still reaches a service that is
@@ -35,14 +38,14 @@
 	}
 }
 
-// silentServices returns the services all of whose streams are silent.
+// silentServices returns the services from which nothing comes.
 func (g *Gateway) silentServices(now time.Time) []string {
 	return cutoff.SilentServices(g.streams.serviceSnapshot(now), now)
 }
 
 // recordFailedConnection records that no connection to a target could be opened. If many
-// targets of its service fail, other targets of it are probed: if none answers,
-// the daemon reaches no target of the service.
+// targets of its service fail, other targets of it are probed: if none answers, the daemon
+// reaches no target of the service.
 func (g *Gateway) recordFailedConnection(target *fleet.Target) {
 	suspected, others := g.coordinator.recordFailedConnection(target)
 	if !suspected {
@@ -50,7 +53,7 @@
 	}
 	go func() {
 		if g.reachesAny(context.Background(), others, verifyTimeout) {
-			g.coordinator.recordReached(target.Service)
+			g.recordReached(target.Service)
 			return
 		}
 		if g.coordinator.markUnreached(target.Service) {
@@ -74,8 +77,8 @@
 
 // handleUnreached closes the idle connections to a service that is not reached and cancels
 // its streams that may go on elsewhere: other daemons may reach the service. The targets are
-// then probed until one answers. Other services are checked at once, as a
-// host that loses one often loses all.
+// then probed until one answers. Other services are checked at once, as a host that loses one
+// often loses all.
 func (g *Gateway) handleUnreached(service, evidence string) {
 	for _, target := range g.coordinator.serviceTargets(service) {
 		g.pool.CloseIdle(target.Address)
@@ -101,23 +104,36 @@
 	}
 }
 
-// probeUntilReached probes targets of a service until one answers or the service has no targets left. Then it ends the ejections of all its targets, whose cause was here.
+// probeUntilReached probes targets of a service until one answers, or the service is reached
+// otherwise or has no targets left.
 func (g *Gateway) probeUntilReached(service string) {
-	started := time.Now()
-	for delay := firstProbeDelay; ; delay = probeInterval {
+	delay := firstProbeDelay
+	for round := 1; ; round++ {
 		select {
 		case <-g.coordinator.done:
 			return
 		case <-time.After(delay):
 		}
+		delay = probeInterval
 		targets := g.coordinator.sampleTargets(service, reachProbes)
-		if len(targets) > 0 && !g.reachesAny(context.Background(), targets, exchange.DialTimeout) {
-			continue
+		if round%roundsForAll == 0 {
+			targets = sample(g.coordinator.candidates(service), 1)
 		}
-		g.coordinator.markReached(service)
+		if len(targets) == 0 || g.reachesAny(context.Background(), targets, exchange.DialTimeout) {
+			g.recordReached(service)
+		}
+		if !g.coordinator.unreached(service) {
+			return
+		}
+	}
+}
+
+// recordReached records that a target of a service has answered a new request. If the service
+// was not reached, it tells the other daemons.
+func (g *Gateway) recordReached(service string) {
+	if g.coordinator.recordReached(service) {
 		g.peers.announceUnreached(g.coordinator.unreachedServices())
-		g.log.Warn("targets of the service are reached again", "service", service, "after_ms", time.Since(started).Milliseconds())
-		return
+		g.log.Warn("targets of the service are reached again", "service", service)
 	}
 }
 
@@ -169,9 +185,23 @@
 	return suspected, sample(others, verifyProbes)
 }
 
-// recordReached records that a target has answered.
-func (c *coordinator) recordReached(service string) {
-	c.do(func() { c.reach.RecordAnswer(service) })
+// recordReached records that a target has answered a new request, and reports whether its
+// service was not reached. If so, it ends the ejections of the service's targets, whose cause
+// was here, but for those in a failure domain that is still cut off.
+func (c *coordinator) recordReached(service string) (wasUnreached bool) {
+	c.do(func() {
+		wasUnreached = c.reach.Unreached(service)
+		c.reach.RecordAnswer(service)
+		if !wasUnreached {
+			return
+		}
+		for _, target := range c.placement.Candidates(service) {
+			if !c.domains.IsCutOff(target.FailureDomain) {
+				c.outlier.Release(target.ID)
+			}
+		}
+	})
+	return wasUnreached
 }
 
 // markUnreached records that no target of a service is reached, and reports whether this is
@@ -182,19 +212,6 @@
 	return isNew
 }
 
-// markReached records that a service is reached again, and ends the ejections of its targets
-// that are not in a failure domain that is still cut off.
-func (c *coordinator) markReached(service string) {
-	c.do(func() {
-		c.reach.MarkReached(service)
-		for _, target := range c.placement.Candidates(service) {
-			if !c.domains.IsCutOff(target.FailureDomain) {
-				c.outlier.Release(target.ID)
-			}
-		}
-	})
-}
-
 // unreached reports whether no target of a service is reached.
 func (c *coordinator) unreached(service string) bool {
 	unreached := false
@@ -245,6 +262,13 @@
 	return sample(targets, count)
 }
 
+// candidates returns the targets of a service that take new work.
+func (c *coordinator) candidates(service string) []*fleet.Target {
+	var targets []*fleet.Target
+	c.do(func() { targets = c.placement.Candidates(service) })
+	return targets
+}
+
 // sampleOtherTargets returns random targets of all services without one, at most count.
 func (c *coordinator) sampleOtherTargets(target *fleet.Target, count int) []*fleet.Target {
 	var others []*fleet.Target
