--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -27,12 +27,12 @@
 // Invariant: a service that is not reached stays so until RecordAnswer is called.
 type Tracker struct {
 	failures  map[string]map[string]time.Time // by service and target: the last failed connection
-	unreached map[string]bool                 // by service
+	unreached map[string]time.Time            // by service: since when
 }
 
 // New returns a tracker that takes all services to be reached.
 func New() *Tracker {
-	return &Tracker{failures: make(map[string]map[string]time.Time), unreached: make(map[string]bool)}
+	return &Tracker{failures: make(map[string]map[string]time.Time), unreached: make(map[string]time.Time)}
 }
 
 // RecordFailure records that no connection to a target could be opened. Count is the number
@@ -53,7 +53,7 @@
 		}
 		recent++
 	}
-	return recent >= min(minTargets, count) && !t.unreached[service]
+	return recent >= min(minTargets, count) && !t.Unreached(service)
 }
 
 // Failed reports whether a target has failed since the last answer of its service.
@@ -63,24 +63,30 @@
 }
 
 // RecordAnswer records that a target of a service has answered a request or a probe that was
-// sent since the service was last found not to be reached.
-func (t *Tracker) RecordAnswer(service string) {
-	delete(t.unreached, service)
+// sent at a time. An answer to an earlier request does not end that the service is not
+// reached: it may have come on a connection that outlived the path for new ones.
+func (t *Tracker) RecordAnswer(service string, sentAt time.Time) {
 	delete(t.failures, service)
+	if since, unreached := t.unreached[service]; unreached && sentAt.After(since) {
+		delete(t.unreached, service)
+	}
 }
 
 // MarkUnreached records that no target of a service is reached, and reports whether this is
 // new.
-func (t *Tracker) MarkUnreached(service string) bool {
-	if t.unreached[service] {
+func (t *Tracker) MarkUnreached(service string, now time.Time) bool {
+	if t.Unreached(service) {
 		return false
 	}
-	t.unreached[service] = true
+	t.unreached[service] = now
 	return true
 }
 
 // Unreached reports whether no target of a service is reached.
-func (t *Tracker) Unreached(service string) bool { return t.unreached[service] }
+func (t *Tracker) Unreached(service string) bool {
+	_, unreached := t.unreached[service]
+	return unreached
+}
 
 // UnreachedServices returns the services that are not reached, sorted.
 func (t *Tracker) UnreachedServices() []string {
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -37,7 +37,7 @@
 			found := false
 			for i, f := range c.failures {
 				if i == c.answerAt {
-					tracker.RecordAnswer("s")
+					tracker.RecordAnswer("s", at(f.atMs))
 				}
 				found = tracker.RecordFailure("s", f.target, c.count, at(f.atMs)) || found
 			}
@@ -49,12 +49,14 @@
 func TestUnreachedServiceIsReachedAgainByAnAnswer(t *testing.T) {
 	tracker := New()
 	must.False(t, tracker.Unreached("s"))
-	must.True(t, tracker.MarkUnreached("s"))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	must.True(t, tracker.MarkUnreached("s", start))
 	must.True(t, tracker.Unreached("s"))
 	must.False(t, tracker.Unreached("other"))
 	must.False(t, tracker.RecordFailure("s", "a", 1, time.Time{}), must.Sprint("it is known"))
-	must.False(t, tracker.MarkUnreached("s"))
-	must.Eq(t, []string{"s"}, tracker.UnreachedServices())
-	tracker.RecordAnswer("s")
+	must.False(t, tracker.MarkUnreached("s", start))
+	tracker.RecordAnswer("s", start.Add(-time.Second))
+	must.Eq(t, []string{"s"}, tracker.UnreachedServices(), must.Sprint("the request was sent before"))
+	tracker.RecordAnswer("s", start.Add(time.Second))
 	must.SliceEmpty(t, tracker.UnreachedServices())
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,7 +27,7 @@
 	// update reaches all daemons in a few rounds, within the time that a
 	// configuration may take to be applied. At the target size the control traffic of a
 	// daemon is just below 10 KB per second.
-	exchangeInterval = 440 * time.Millisecond
+	exchangeInterval = 450 * time.Millisecond
 	// membersPerExchange is how many daemons' entries are sent in an exchange.
 	membersPerExchange = 4
 	// loadsPerExchange is how many targets' loads are sent in an exchange, the highest
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -214,7 +214,7 @@
 		return g.handleAttemptError(req, exchangeErr)
 	}
 	defer response.Close()
-	g.recordReached(choice.Target.Service)
+	g.recordReached(choice.Target.Service, req.chosenAt)
 	info := platform.ParseResponseHeader(response.Header)
 	g.recordTargetState(req, response.Status, info)
 	if refusedByTarget(response.Status, info) {
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -52,8 +52,9 @@
 		return
 	}
 	go func() {
+		probedAt := time.Now()
 		if g.reachesAny(context.Background(), others, verifyTimeout) {
-			g.recordReached(target.Service)
+			g.recordReached(target.Service, probedAt)
 			return
 		}
 		if g.coordinator.markUnreached(target.Service) {
@@ -119,8 +120,9 @@
 		if round%roundsForAll == 0 {
 			targets = sample(g.coordinator.candidates(service), 1)
 		}
+		probedAt := time.Now()
 		if len(targets) == 0 || g.reachesAny(context.Background(), targets, exchange.DialTimeout) {
-			g.recordReached(service)
+			g.recordReached(service, probedAt)
 		}
 		if !g.coordinator.unreached(service) {
 			return
@@ -128,10 +130,10 @@
 	}
 }
 
-// recordReached records that a target of a service has answered a new request. If the service
-// was not reached, it tells the other daemons.
-func (g *Gateway) recordReached(service string) {
-	if g.coordinator.recordReached(service) {
+// recordReached records that a target of a service has answered a request that was sent at a
+// time. If the service is reached again, it tells the other daemons.
+func (g *Gateway) recordReached(service string, sentAt time.Time) {
+	if g.coordinator.recordReached(service, sentAt) {
 		g.peers.announceUnreached(g.coordinator.unreachedServices())
 		g.log.Warn("targets of the service are reached again", "service", service)
 	}
@@ -185,14 +187,14 @@
 	return suspected, sample(others, verifyProbes)
 }
 
-// recordReached records that a target has answered a new request, and reports whether its
-// service was not reached. If so, it ends the ejections of the service's targets, whose cause
-// was here, but for those in a failure domain that is still cut off.
-func (c *coordinator) recordReached(service string) (wasUnreached bool) {
+// recordReached records that a target has answered a request that was sent at a time, and
+// reports whether its service is reached again. If so, it ends the ejections of the service's
+// targets, whose cause was here, but for those in a failure domain that is still cut off.
+func (c *coordinator) recordReached(service string, sentAt time.Time) (again bool) {
 	c.do(func() {
-		wasUnreached = c.reach.Unreached(service)
-		c.reach.RecordAnswer(service)
-		if !wasUnreached {
+		wasUnreached := c.reach.Unreached(service)
+		c.reach.RecordAnswer(service, sentAt)
+		if again = wasUnreached && !c.reach.Unreached(service); !again {
 			return
 		}
 		for _, target := range c.placement.Candidates(service) {
@@ -201,14 +203,14 @@
 			}
 		}
 	})
-	return wasUnreached
+	return again
 }
 
 // markUnreached records that no target of a service is reached, and reports whether this is
 // new.
 func (c *coordinator) markUnreached(service string) bool {
 	isNew := false
-	c.do(func() { isNew = c.reach.MarkUnreached(service) })
+	c.do(func() { isNew = c.reach.MarkUnreached(service, time.Now()) })
 	return isNew
 }
 
