Review: case of brittle runners; cases are numbered by gravity

Cause: that runners are brittle is kept for each incarnation alone, so that a new runner of a brittle service gets requests of all daemons without limits.

The fatal part is case 4 now.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/harness ] || exit 2
 [ -x ../../target/hemlockknot-gateway ] || exit 2
-exec ../bin/harness request .
+exec ../bin/harness part .
