--- a/review/harness/case_brittle.go
+++ b/review/harness/case_brittle.go
@@ -9,51 +9,51 @@
 	"time"
 )
 
-func init() { cases["brittle"] = brittleRunners }
+func init() { cases["brittle"] = brittleTargets }
 
-// Figures of brittle runners.
+// Figures of brittle targets.
 const (
-	deskRunners    = 4
-	bornRejections = 3                      // N of Server-Brittle: rejections in a second that a runner bears
+	deskTargets    = 4
+	bornRejections = 3                      // N of Server-Brittle: rejections in a second that a target bears
 	deskSlots      = 6                      // requests at the same time, as on the users' sheet
-	deskQueue      = 24                     // requests that wait, while the runner is not brittle
+	deskQueue      = 24                     // requests that wait, while the target is not brittle
 	deskWork       = 100 * time.Millisecond // of each request
-	deskInterval   = 5 * time.Millisecond   // between requests of all clients: 83% of what the runners can do
-	quietTime      = 5 * time.Second        // before the runners say that they are brittle
+	deskInterval   = 5 * time.Millisecond   // between requests of all clients: 83% of what the targets can do
+	quietTime      = 5 * time.Second        // before the targets say that they are brittle
 	brittleTime    = 30 * time.Second
 	releaseTime    = 6 * time.Second // from the beginning of the brittle time
 	drainTime      = 3 * time.Second // drainMs and a little longer
 	entryLifetime  = 3600 * time.Millisecond
 )
 
-// desk is a service whose runners may be brittle.
+// desk is a service whose targets may be brittle.
 type desk struct {
 	*run
 	mu           sync.Mutex
 	brittleSince time.Time // zero: sound
-	states       map[*runner]*deskState
+	states       map[*target]*deskState
 	falls        int
 	started      int
-	leaving      *runner // that drains
+	leaving      *target // that drains
 }
 
-// deskState is the load of one runner.
+// deskState is the load of one target.
 type deskState struct {
 	held     int
 	rejected []time.Time
 	slots    chan struct{}
 }
 
-// start starts a runner, under a new id.
-func (d *desk) start() (*runner, error) {
+// start starts a target, under a new id.
+func (d *desk) start() (*target, error) {
 	d.mu.Lock()
 	d.started++
 	id := fmt.Sprintf("desk-%d", d.started)
 	d.mu.Unlock()
-	return startRunner(d.store, d.record, id, "quote-app", zones[d.started%3], "v1", "127.21.9.1", d.handle)
+	return startTarget(d.store, d.record, id, "quote-app", zones[d.started%3], "v1", "127.21.9.1", d.handle)
 }
 
-func (d *desk) handle(engine *runner, conn net.Conn, request *http.Request, _ string) bool {
+func (d *desk) handle(engine *target, conn net.Conn, request *http.Request, _ string) bool {
 	d.mu.Lock()
 	state := d.states[engine]
 	if state == nil {
@@ -73,7 +73,7 @@
 		if falls {
 			return false
 		}
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", header)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n", header+head("not-run", "1"))
 		return err == nil
 	}
 	state.held++
@@ -85,26 +85,26 @@
 	state.held--
 	header := d.header(engine, state, request)
 	d.mu.Unlock()
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Response-Stamp: %s\r\nContent-Length: 2\r\n\r\nok", header, engine.id)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", header+head("stamp", engine.id))
 	return err == nil
 }
 
-// header returns the header lines that all answers of a runner have. The caller holds mu.
-func (d *desk) header(engine *runner, state *deskState, request *http.Request) string {
-	header := fmt.Sprintf("X-Request-Id: %s\r\nX-Instance-Id: %s\r\nX-Instance-Load: %d,%d,%d\r\n",
-		request.Header.Get("X-Request-Id"), engine.id, min(state.held, deskSlots), max(0, state.held-deskSlots), deskSlots)
+// header returns the header lines that all answers of a target have. The caller holds mu.
+func (d *desk) header(engine *target, state *deskState, request *http.Request) string {
+	load := fmt.Sprintf("%d,%d,%d", min(state.held, deskSlots), max(0, state.held-deskSlots), deskSlots)
+	header := head("request-id", request.Header.Get(named("request-id")), "instance", engine.id, "load", load)
 	if !d.brittleSince.IsZero() {
-		header += fmt.Sprintf("Server-Brittle: %d\r\n", bornRejections)
+		header += head("brittle", fmt.Sprint(bornRejections))
 	}
 	if d.leaving == engine {
-		header += "Server-Leaving: 1\r\n"
+		header += head("leaving", "1")
 	}
 	return header
 }
 
 // reject counts a request that is turned away for want of room, and reports whether the
-// runner falls over. It is back after some seconds, under a new id.
-func (d *desk) reject(engine *runner, state *deskState, brittle bool, now time.Time) (falls bool) {
+// target falls over. It is back after some seconds, under a new id.
+func (d *desk) reject(engine *target, state *deskState, brittle bool, now time.Time) (falls bool) {
 	recent := state.rejected[:0]
 	for _, at := range state.rejected {
 		if now.Sub(at) < time.Second {
@@ -112,37 +112,37 @@
 		}
 	}
 	state.rejected = append(recent, now)
-	d.logf("runner %s turns a request away: %d in the last second", engine.id, len(state.rejected))
+	d.logf("target %s turns a request away: %d in the last second", engine.id, len(state.rejected))
 	if !brittle || now.Sub(d.brittleSince) < contact || len(state.rejected) <= bornRejections || !engine.crash() {
 		return false
 	}
 	d.falls++
-	d.logf("runner %s falls over: fall %d", engine.id, d.falls)
+	d.logf("target %s falls over: fall %d", engine.id, d.falls)
 	d.replace(engine, engineDown)
 	return true
 }
 
-// replace starts a runner that has ended again after a while, under a new id. The entry of the old
+// replace starts a target that has ended again after a while, under a new id. The entry of the old
 // one lapses after three heartbeats.
-func (d *desk) replace(ended *runner, down time.Duration) {
+func (d *desk) replace(ended *target, down time.Duration) {
 	time.AfterFunc(entryLifetime, func() { d.store.remove("servers", ended.id) })
 	time.AfterFunc(down, func() {
 		started, err := d.start()
 		if err != nil {
-			d.logf("a runner cannot start: %v", err)
+			d.logf("a target cannot start: %v", err)
 			return
 		}
-		d.logf("it is back as runner %s", started.id)
+		d.logf("it is back as target %s", started.id)
 	})
 }
 
-// brittleRunners: the runners of a service say that they are brittle. During that time one of
+// brittleTargets: the targets of a service say that they are brittle. During that time one of
 // them is replaced by a new one, as planned.
-func brittleRunners(r *run) (broken bool, err error) {
-	d := &desk{run: r, states: make(map[*runner]*deskState)}
+func brittleTargets(r *run) (broken bool, err error) {
+	d := &desk{run: r, states: make(map[*target]*deskState)}
 	r.writeConfig(1, route("status-read", "/status/", "idempotent", "quote-app", 2, false))
-	var last *runner
-	for range deskRunners {
+	var last *target
+	for range deskTargets {
 		if last, err = d.start(); err != nil {
 			return false, err
 		}
@@ -168,17 +168,17 @@
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.brittleSince = time.Now()
-			r.logf("the runners say that they are brittle")
+			r.logf("the targets say that they are brittle")
 		})
 	}
-	if os.Getenv("RELEASE") != "0" { // RELEASE=0: no runner is replaced
+	if os.Getenv("RELEASE") != "0" { // RELEASE=0: no target is replaced
 		time.AfterFunc(quietTime+releaseTime, func() {
 			next, err := d.start()
 			if err != nil {
-				r.logf("a runner cannot start: %v", err)
+				r.logf("a target cannot start: %v", err)
 				return
 			}
-			r.logf("runner %s starts, and %s, which it replaces, drains", next.id, last.id)
+			r.logf("target %s starts, and %s, which it replaces, drains", next.id, last.id)
 			d.mu.Lock()
 			d.leaving = last
 			d.mu.Unlock()
@@ -186,7 +186,7 @@
 			time.AfterFunc(drainTime, func() {
 				d.store.remove("servers", last.id)
 				last.crash()
-				r.logf("runner %s has left", last.id)
+				r.logf("target %s has left", last.id)
 			})
 		})
 	}
@@ -205,7 +205,7 @@
 	clients.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	allowed := 2 + deskRunners/10.0
-	r.sayf("answers by status: %v; the runners fell over %d times, %.1f are allowed", answers, d.falls, allowed)
+	allowed := 2 + deskTargets/10.0
+	r.sayf("answers by status: %v; the targets fell over %d times, %.1f are allowed", answers, d.falls, allowed)
 	return float64(d.falls) > allowed, nil
 }
--- a/review/harness/case_config.go
+++ b/review/harness/case_config.go
@@ -30,22 +30,22 @@
 func staleConfig(r *run) (broken bool, err error) {
 	var mu sync.Mutex
 	ranAt := make(map[string]string) // service by request
-	handle := func(engine *runner, conn net.Conn, request *http.Request, _ string) bool {
-		id := request.Header.Get("X-Request-Id")
+	handle := func(engine *target, conn net.Conn, request *http.Request, _ string) bool {
+		id := request.Header.Get(named("request-id"))
 		mu.Lock()
 		ranAt[id] = engine.service
 		mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
 		return engine.answer(conn, request, "status of "+id)
 	}
-	status := func(service string) map[string]any {
+	status := func(service string) routeSpec {
 		return route("status-read", "/status/", "idempotent", service, 2, false)
 	}
 	book := route("deposit-book", "/book/", "non_idempotent", "quote-app", 1, false)
 	r.writeConfig(1, status("quote-app"), book)
 	for _, service := range []string{"quote-app", "quote-app-next"} {
 		for i := range 3 {
-			if _, err := startRunner(r.store, r.record, fmt.Sprintf("%s-%d", service, i+1), service, zones[i], "v1", "127.21.9.1", handle); err != nil {
+			if _, err := startTarget(r.store, r.record, fmt.Sprintf("%s-%d", service, i+1), service, zones[i], "v1", "127.21.9.1", handle); err != nil {
 				return false, err
 			}
 		}
@@ -71,10 +71,10 @@
 		}
 		r.logf("%s is ready", d.name)
 	}
-	// Usual changes just before: a further route, and a further runner.
+	// Usual changes just before: a further route, and a further target.
 	time.Sleep(time.Until(added[1].startedAt.Add(killAfter - 300*time.Millisecond)))
 	r.writeConfig(2, status("quote-app"), book, route("status-read-2", "/status2/", "idempotent", "quote-app", 2, false))
-	if _, err := startRunner(r.store, r.record, "quote-app-4", "quote-app", zones[0], "v1", "127.21.9.1", handle); err != nil {
+	if _, err := startTarget(r.store, r.record, "quote-app-4", "quote-app", zones[0], "v1", "127.21.9.1", handle); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Until(added[1].startedAt.Add(killAfter)))
--- a/review/harness/case_part.go
+++ b/review/harness/case_part.go
@@ -20,12 +20,12 @@
 	allowedAfter      = 3 // by the rule
 )
 
-// fatalPart: one part of a prompt crashes each runner that begins to write an answer on it,
-// before a byte of the answer has left the runner. No two of the requests are alike.
+// fatalPart: one part of a prompt crashes each target that begins to write an answer on it,
+// before a byte of the answer has left the target. No two of the requests are alike.
 func fatalPart(r *run) (broken bool, err error) {
 	var seen arrivals
-	handle := func(engine *runner, conn net.Conn, request *http.Request, _ string) bool {
-		id := request.Header.Get("X-Request-Id")
+	handle := func(engine *target, conn net.Conn, request *http.Request, _ string) bool {
+		id := request.Header.Get(named("request-id"))
 		fatal := hasSharedPart(request, fatalPartID)
 		seen.mu.Lock()
 		if fatal {
@@ -35,13 +35,13 @@
 		}
 		seen.mu.Unlock()
 		if fatal {
-			r.logf("%s reaches runner %s", id, engine.id)
+			r.logf("%s reaches target %s", id, engine.id)
 		}
 		time.Sleep(prefillTime)
 		if fatal && r.trouble {
 			seen.mu.Lock()
 			seen.crashes = append(seen.crashes, time.Now())
-			r.logf("runner %s crashes as it begins to write the answer to %s: crash %d", engine.id, id, len(seen.crashes))
+			r.logf("target %s crashes as it begins to write the answer to %s: crash %d", engine.id, id, len(seen.crashes))
 			seen.mu.Unlock()
 			engine.crashFor(engineDown)
 			return false
@@ -50,7 +50,7 @@
 	}
 	r.writeConfig(1, route("cust-answer", "/answer/", "streaming", "hk-model", 1, false))
 	for i := range engineCount {
-		if _, err := startRunner(r.store, r.record, fmt.Sprintf("i-%02d", i+1), "hk-model", zones[i%3], "v1", "127.21.9.1", handle); err != nil {
+		if _, err := startTarget(r.store, r.record, fmt.Sprintf("i-%02d", i+1), "hk-model", zones[i%3], "v1", "127.21.9.1", handle); err != nil {
 			return false, err
 		}
 	}
@@ -100,7 +100,7 @@
 	clients.Wait()
 	seen.mu.Lock()
 	defer seen.mu.Unlock()
-	r.sayf("%d requests with the part were sent, %d reached runners, %d crashes; sound: %d served, %d not", fatalRequests, len(seen.fatal), len(seen.crashes), served, unserved)
+	r.sayf("%d requests with the part were sent, %d reached targets, %d crashes; sound: %d served, %d not", fatalRequests, len(seen.fatal), len(seen.crashes), served, unserved)
 	if len(seen.crashes) < crashesUntilKnown {
 		return false, nil
 	}
@@ -111,6 +111,6 @@
 			late++
 		}
 	}
-	r.sayf("fifth crash at %.3f; later than %.3f, %d requests with the part reached runners, %d are allowed", r.at(seen.crashes[crashesUntilKnown-1]), r.at(known), late, allowedAfter)
+	r.sayf("fifth crash at %.3f; later than %.3f, %d requests with the part reached targets, %d are allowed", r.at(seen.crashes[crashesUntilKnown-1]), r.at(known), late, allowedAfter)
 	return late > allowedAfter, nil
 }
--- a/review/harness/case_resume.go
+++ b/review/harness/case_resume.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,17 +23,17 @@
 	judgedAtLeast = 12                      // by the rule
 )
 
-// resumedStreams: a machine loses power. Before its clients notice, the first runner of another
+// resumedStreams: a machine loses power. Before its clients notice, the first target of another
 // software version joins the service. The clients take their streams up at the other machines.
 func resumedStreams(r *run) (broken bool, err error) {
-	handle := func(engine *runner, conn net.Conn, request *http.Request, _ string) bool {
-		r.logf("%s reaches runner %s of version %s, Last-Event-Id %q", request.Header.Get("X-Request-Id"), engine.id, engine.version, request.Header.Get("Last-Event-Id"))
+	handle := func(engine *target, conn net.Conn, request *http.Request, _ string) bool {
+		r.logf("%s reaches target %s of version %s, Last-Event-Id %q", request.Header.Get(named("request-id")), engine.id, engine.version, request.Header.Get(named("last-event")))
 		time.Sleep(prefillTime)
 		return engine.stream(conn, request, longEvents, eventGap)
 	}
 	r.writeConfig(1, route("quote-draft", "/draft/", "streaming", "hk-model", 2, true))
 	for i := range 4 {
-		if _, err := startRunner(r.store, r.record, fmt.Sprintf("old-%d", i+1), "hk-model", zones[i%3], "v1", "127.21.9.1", handle); err != nil {
+		if _, err := startTarget(r.store, r.record, fmt.Sprintf("old-%d", i+1), "hk-model", zones[i%3], "v1", "127.21.9.1", handle); err != nil {
 			return false, err
 		}
 	}
@@ -80,10 +81,10 @@
 	}
 	time.Sleep(releaseDelay)
 	if os.Getenv("RELEASE") != "0" {
-		if _, err := startRunner(r.store, r.record, "new-1", "hk-model", zones[0], "v2", "127.21.9.1", handle); err != nil {
+		if _, err := startTarget(r.store, r.record, "new-1", "hk-model", zones[0], "v2", "127.21.9.1", handle); err != nil {
 			return false, err
 		}
-		r.logf("the first runner of version v2 registers")
+		r.logf("the first target of version v2 registers")
 	}
 	for n := range longStreams { // new streams meanwhile
 		clients.Go(func() {
@@ -102,7 +103,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	clients.Wait()
-	r.sayf("%d streams were taken up while 4 runners of their version served, %d of them went on; %d of %d new streams began", taken, goneOn, begun, tried)
+	r.sayf("%d streams were taken up while 4 targets of their version served, %d of them went on; %d of %d new streams began", taken, goneOn, begun, tried)
 	if taken < judgedAtLeast {
 		return false, nil
 	}
@@ -117,8 +118,7 @@
 		return 0, false
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\nX-Model: m\r\nX-Token-Count: 800,80\r\nX-Prompt-Prefix: %s\r\nContent-Length: %d\r\n\r\n%s",
-		c.method, c.path, host, c.id, c.deadlineMs, c.key, c.prompt, len(c.body), c.body)
+	_, _ = io.WriteString(conn, c.text())
 	_ = conn.SetReadDeadline(time.Now().Add(patience))
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: c.method})
 	if err != nil || response.StatusCode != http.StatusOK {
--- a/review/harness/case_version.go
+++ b/review/harness/case_version.go
@@ -28,17 +28,17 @@
 )
 
 // softwareVersions: one of three machines is cut off from the others, and then from the store.
-// Meanwhile a runner of another software version joins, begins streams by way of another
+// Meanwhile a target of another software version joins, begins streams by way of another
 // machine, and crashes. The clients take their streams up at the machine that is cut off.
 func softwareVersions(r *run) (broken bool, err error) {
-	handle := func(engine *runner, conn net.Conn, request *http.Request, _ string) bool {
-		r.logf("%s reaches runner %s of version %s, Last-Event-Id %q, Resumes %q", request.Header.Get("X-Request-Id"), engine.id, engine.version, request.Header.Get("Last-Event-Id"), request.Header.Get("Resumes"))
+	handle := func(engine *target, conn net.Conn, request *http.Request, _ string) bool {
+		r.logf("%s reaches target %s of version %s, Last-Event-Id %q, Resumes %q", request.Header.Get(named("request-id")), engine.id, engine.version, request.Header.Get(named("last-event")), request.Header.Get(named("resumes")))
 		time.Sleep(prefillTime)
 		return engine.stream(conn, request, eventsOfStream, eventGap)
 	}
 	r.writeConfig(1, route("quote-draft", "/draft/", "streaming", "hk-model", 2, true))
 	for i := range 3 {
-		if _, err := startRunner(r.store, r.record, fmt.Sprintf("old-%d", i+1), "hk-model", zones[i], "v1", "127.21.9.1", handle); err != nil {
+		if _, err := startTarget(r.store, r.record, fmt.Sprintf("old-%d", i+1), "hk-model", zones[i], "v1", "127.21.9.1", handle); err != nil {
 			return false, err
 		}
 	}
@@ -86,16 +86,16 @@
 		toStore.setCut(true)
 	}
 	since(releaseAfter)
-	canary, err := startRunner(r.store, r.record, "new-1", "hk-model", zones[0], "v2", "127.21.9.1", handle)
+	canary, err := startTarget(r.store, r.record, "new-1", "hk-model", zones[0], "v2", "127.21.9.1", handle)
 	if err != nil {
 		return false, err
 	}
-	r.logf("runner %s of version %s registers", canary.id, canary.version)
+	r.logf("target %s of version %s registers", canary.id, canary.version)
 	since(streamsAfter)
 	var mu sync.Mutex
 	var clients sync.WaitGroup
 	mixed, began := 0, 0
-	// Streams go to the runner of their session: enough are begun that some are at the new one.
+	// Streams go to the target of their session: enough are begun that some are at the new one.
 	for n := range 6 * takenUpStreams {
 		clients.Go(func() {
 			c := call{
@@ -103,7 +103,7 @@
 				prompt: fmt.Sprintf("cc01:512,5e55%02d:1000,%x:300", n, 0x40000+n),
 			}
 			got := send(first.front(), c)
-			r.logf("%s, sent to %s, is answered %d with %d events by %q, complete: %t", c.id, first.name, got.status, len(got.events), got.header.Get("X-Response-Stamp"), got.complete)
+			r.logf("%s, sent to %s, is answered %d with %d events by %q, complete: %t", c.id, first.name, got.status, len(got.events), got.header.Get(named("stamp")), got.complete)
 			if got.complete || len(got.events) == 0 {
 				return
 			}
@@ -123,7 +123,7 @@
 				}
 			}
 			versions := versionsOf(all)
-			r.logf("%s: %d events from runners of versions %v", c.id, len(all), versions)
+			r.logf("%s: %d events from targets of versions %v", c.id, len(all), versions)
 			if len(versions) > 1 {
 				mu.Lock()
 				mixed++
@@ -133,11 +133,11 @@
 	}
 	since(crashAfter)
 	canary.crash()
-	r.logf("runner %s crashes", canary.id)
+	r.logf("target %s crashes", canary.id)
 	clients.Wait()
-	r.sayf("%d streams were begun by the runner of version v2 and broke off; %d of them hold events of both versions, %d are allowed", began, mixed, allowedMixed)
+	r.sayf("%d streams were begun by the target of version v2 and broke off; %d of them hold events of both versions, %d are allowed", began, mixed, allowedMixed)
 	if began <= allowedMixed {
-		return false, fmt.Errorf("only %d streams were at the new runner", began)
+		return false, fmt.Errorf("only %d streams were at the new target", began)
 	}
 	return mixed > allowedMixed, nil
 }
@@ -149,7 +149,7 @@
 	return id
 }
 
-// versionsOf returns the software versions of the runners that wrote the events.
+// versionsOf returns the software versions of the targets that wrote the events.
 func versionsOf(events []string) []string {
 	var versions []string
 	seen := make(map[string]bool)
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -32,6 +32,22 @@
 
 const host = "quotes.example"
 
+// text returns the request as it is sent.
+func (c call) text() string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.path, host) +
+		head("request-id", c.id, "deadline", fmt.Sprint(c.deadlineMs), "key", c.key)
+	if c.prompt != "" {
+		text += head("model", "m", "token-count", "800,80", "prompt", c.prompt)
+	}
+	if c.resumes != "" {
+		text += head("resumes", c.resumes, "last-event", fmt.Sprint(c.lastEvent))
+	}
+	if c.body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(c.body))
+	}
+	return text + "\r\n" + c.body
+}
+
 // send makes one client attempt on a connection of its own.
 func send(address string, c call) reply {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
@@ -40,18 +56,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(time.Duration(c.deadlineMs) * time.Millisecond))
-	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Key: %s\r\n", c.method, c.path, host, c.id, c.deadlineMs, c.key)
-	if c.prompt != "" {
-		fmt.Fprintf(&text, "X-Model: m\r\nX-Token-Count: 800,80\r\nX-Prompt-Prefix: %s\r\n", c.prompt)
-	}
-	if c.resumes != "" {
-		fmt.Fprintf(&text, "Resumes: %s\r\nLast-Event-Id: %d\r\n", c.resumes, c.lastEvent)
-	}
-	if c.body != "" {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(c.body))
-	}
-	if _, err := io.WriteString(conn, text.String()+"\r\n"+c.body); err != nil {
+	if _, err := io.WriteString(conn, c.text()); err != nil {
 		return reply{err: err}
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: c.method})
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -70,7 +70,7 @@
 	defer func() { _ = output.Close() }()
 	command := exec.Command("target/hemlockknot-gateway", "run", "--metrics-port", "9464")
 	command.Dir = repositoryRoot
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HEMLOCKKNOT_SETTINGS=" + settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), named("settings") + "=" + settings}
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -94,32 +94,17 @@
 
 // settings are those of the users' page, with the figures of the site smc-quotes.
 func (d *daemon) settings(firstStart bool) string {
-	lines := []string{
-		"nodeName=" + d.name, "role=gateway", "machineClass=front", "serves=front,control",
-		"ip=" + d.ip, "zone=" + d.zone, "region=pk-central",
-		"zones.lhr-a=pk-central", "zones.lhr-b=pk-central", "zones.lhr-c=pk-central",
-		"listen.front=" + d.front(), "listen.ready=" + d.ready(), "listen.control=" + d.control(),
-		fmt.Sprintf("portRange=%d,%d", d.ports.first, d.ports.last), "seeds=" + strings.Join(d.seeds, ","),
-		"bootstrap=" + strconv.FormatBool(firstStart), "lossCounts=false",
-		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0", "limits.diskMb=0",
-		"discovery=platform", "entry=vip", "beatMs=1200",
-		"contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
-		"faultTolerance.machines=1", "faultTolerance.zones=1", "faultTolerance.regions=0",
-		"bounds.seedLagS=3", "bounds.reuseAfterS=2", "bounds.contactMs=3000", "bounds.ackMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000",
-		"bounds.graceS=8", "bounds.lossSlackMs=200", "bounds.configApplyMs=2000", "bounds.rollbackSlackMs=250", "bounds.maxStretchMs=5000",
-		"bounds.strictRevoke=false", "bounds.revokeMs=5000", "bounds.retryRatio=0.2", "bounds.retryWindowS=10", "bounds.retryExtra=52",
-		"bounds.recoveryS=12", "bounds.passMs=120", "bounds.reuseWindowS=10", "bounds.capFactor=2",
-		"platform.address=" + d.storeAddress, "platform.form=objects", "platform.writesPerS=400", "platform.readsPerS=2000",
-		"platform.historyS=20", "platform.valueBytes=1048576", "platform.minTtlMs=1000",
-	}
-	return strings.Join(lines, "\n") + "\n"
+	return string(fill(settingsText, map[string]any{
+		"Name": d.name, "IP": d.ip, "Zone": d.zone, "Front": d.front(), "Ready": d.ready(), "Control": d.control(),
+		"First": d.ports.first, "Last": d.ports.last, "Seeds": strings.Join(d.seeds, ","), "FirstStart": firstStart, "Store": d.storeAddress,
+	}))
 }
 
 // isReady asks the daemon as the platform does.
 func (d *daemon) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready()+"/-/ready", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready()+named("ready"), nil)
 	if err != nil {
 		return false
 	}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -1,13 +1,15 @@
 // Command harness shows faults of the router daemon: it starts real daemons on loopback
-// addresses before stand-ins of the users' store, runners and clients, and judges by what
+// addresses before stand-ins of the users' store, targets and clients, and judges by what
 // these have seen.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -144,32 +146,26 @@
 
 var zones = []string{"lhr-a", "lhr-b", "lhr-c"}
 
-// route returns a route of the configuration.
-func route(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-	spec := map[string]any{
-		"name": name, "host": host, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 10000, "latencyTargetMs": 600,
-		"priority": 1, "service": service, "maxAttempts": attempts, "allowAnonymous": false,
-	}
-	if kind == "streaming" {
-		spec["gapTargetMs"], spec["sticky"], spec["resumable"] = 300, true, resumable
-	}
-	return spec
+// routeSpec is a route of a configuration.
+type routeSpec struct {
+	Name, Prefix, Kind, Service string
+	Attempts                    int
+	Resumable                   bool
+}
+
+// route returns a route of a configuration.
+func route(routeName, prefix, kind, service string, attempts int, resumable bool) routeSpec {
+	return routeSpec{routeName, prefix, kind, service, attempts, resumable}
 }
 
 // writeConfig writes a configuration. When it returns, the store has acknowledged it.
-func (r *run) writeConfig(version int, routes ...map[string]any) {
-	services := []any{}
-	seen := map[any]bool{}
+func (r *run) writeConfig(version int, routes ...routeSpec) {
+	var services []string
 	for _, spec := range routes {
-		if name := spec["service"]; !seen[name] {
-			seen[name] = true
-			services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": 360})
+		if !slices.Contains(services, spec.Service) {
+			services = append(services, spec.Service)
 		}
 	}
-	r.store.put("config", "main", map[string]any{
-		"version": version, "routes": routes, "services": services,
-		"tenants": []any{map[string]any{"name": "surveyors", "apiKeys": []string{"key-of-surveyors"}}, map[string]any{"name": "callers", "apiKeys": []string{"key-of-callers"}}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	r.store.put("config", "main", json.RawMessage(fill(configText, map[string]any{"Version": version, "Host": host, "Routes": routes, "Services": services})))
 	r.logf("configuration %d is acknowledged", version)
 }
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -94,7 +94,7 @@
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, named("objects")), "/")
 	query := r.URL.Query()
 	switch {
 	case r.Method == http.MethodGet && query.Has("watch"):
@@ -135,13 +135,13 @@
 		items = append(items, object)
 	}
 	slices.SortFunc(items, func(a, b storedObject) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	writeJSON(w, map[string]any{"items": items, "hasMore": false, "asOf": s.revision})
+	writeJSON(w, map[string]any{"items": items, named("has-more"): false, named("as-of"): s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	waitMs, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	milliseconds, _ := strconv.Atoi(r.URL.Query().Get(named("wait")))
+	timer := time.NewTimer(time.Duration(milliseconds) * time.Millisecond)
 	defer timer.Stop()
 	for expired := false; ; {
 		s.mu.Lock()
@@ -151,10 +151,10 @@
 				events = append(events, event)
 			}
 		}
-		asOf, changed := s.revision, s.changed
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || expired {
-			writeJSON(w, map[string]any{"events": events, "asOf": asOf})
+			writeJSON(w, map[string]any{"events": events, named("as-of"): revision})
 			return
 		}
 		select {
