Streams of a lost daemon go on at the preceding software version

Cause: origins are copied when a second version appears. A daemon that is lost before it has heard of one has copied nothing, and the others took an origin that nobody knows for one that may be of any version.

Change: the version that alone served until a second one appeared is kept, told to daemons that ask for an origin, and named in the store's record until all must have heard of the second one. A stream that nobody knows goes on there if a daemon may have been lost before it had heard of the second version, and if a copy or a record would have been found. The fields in the reply and in the record are additions; not set means not known, which refuses as before.

--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -44,6 +44,8 @@
 	missingEntryIDs map[uint32]struct{} // ids in received digests whose entries are unknown
 	nextOutside     int                 // round-robin position among the members of other failure domains
 	lastHeartbeat   time.Time           // when this daemon last advanced its own heartbeat
+	// replacedSeenAt is when incarnations that have been replaced by later ones were last heard of.
+	replacedSeenAt []time.Time
 }
 
 // peer is what the table knows of another daemon.
@@ -137,6 +139,7 @@
 func (t *Table) addEntry(entry *peerpb.Member, now time.Time) {
 	if replaced := t.peers[entry.GetName()]; replaced != nil {
 		delete(t.nameByEntryID, replaced.entryID)
+		t.replacedSeenAt = append(t.replacedSeenAt, replaced.lastSeen)
 	} else {
 		i, _ := slices.BinarySearch(t.names, entry.GetName())
 		t.names = slices.Insert(t.names, i, entry.GetName())
@@ -189,6 +192,47 @@
 		}
 	}
 	t.names = slices.DeleteFunc(t.names, func(name string) bool { return t.peers[name] == nil })
+	t.replacedSeenAt = slices.DeleteFunc(t.replacedSeenAt, func(seenAt time.Time) bool { return now.Sub(seenAt) > DeadMemberRetention })
+}
+
+// MayHaveLost reports whether a daemon may have been lost that was last heard of between two
+// times: an earlier incarnation of a present one, one that was leaving, or one that has been
+// silent since silentSince.
+func (t *Table) MayHaveLost(from, until, silentSince time.Time) bool {
+	within := func(seenAt time.Time) bool { return !seenAt.Before(from) && !seenAt.After(until) }
+	for _, peer := range t.peers {
+		if within(peer.lastSeen) && (peer.entry.GetLeaving() || !peer.lastSeen.After(silentSince)) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.replacedSeenAt, within)
+}
+
+// CountReplaced returns how many incarnations of other daemons that were last heard of since a
+// time have been replaced by later ones.
+func (t *Table) CountReplaced(since time.Time) int {
+	count := 0
+	for _, seenAt := range t.replacedSeenAt {
+		if !seenAt.Before(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// CountLive returns how many other daemons are considered alive, and how many have fallen
+// silent without having announced that they leave.
+func (t *Table) CountLive(now time.Time) (live, silent int) {
+	for _, peer := range t.peers {
+		switch {
+		case peer.entry.GetLeaving():
+		case t.alive(peer, now):
+			live++
+		default:
+			silent++
+		}
+	}
+	return live, silent
 }
 
 // alive reports whether a member is within its timeout, or within its grace period
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -199,3 +199,36 @@
 	must.Len(t, 2, table.GossipPeers(random, now.Add(unreachableTime)))
 	must.Eq(t, 5, table.Count())
 }
+
+// A restarted member's earlier incarnation counts as lost, also after its name is alive again.
+func TestLossesAreRemembered(t *testing.T) {
+	entry := func(name string, incarnation uint64, leaving bool) []*peerpb.Member {
+		return []*peerpb.Member{{Name: name, FailureDomain: "0", Incarnation: incarnation, Heartbeat: 1, Leaving: leaving}}
+	}
+	table := newTable(0, 1)
+	at := func(seconds int) time.Time { return startTime.Add(time.Duration(seconds) * time.Second) }
+	table.MergeEntries(entry("d1", 1, false), at(0))
+	table.MergeEntries(entry("d2", 1, false), at(10))
+	table.MergeEntries(entry("d3", 1, true), at(10))
+	table.MergeEntries(entry("d1", 2, false), at(20))
+
+	live, silent := table.CountLive(at(20))
+	must.Eq(t, 1, live, must.Sprint("d1"))
+	must.Eq(t, 1, silent, must.Sprint("d2; d3 has announced that it leaves"))
+	must.Eq(t, 1, table.CountReplaced(at(0)))
+	must.Eq(t, 0, table.CountReplaced(at(1)))
+	for _, c := range []struct {
+		from, until, silentSince int
+		want                     bool
+	}{
+		{0, 0, 0, true},     // d1's first incarnation
+		{1, 9, 30, false},   // none was heard of for the last time then
+		{5, 15, 9, true},    // d3 was leaving
+		{11, 30, 19, false}, // d1 is alive
+		{11, 30, 20, true},  // d1 has been silent since
+	} {
+		must.Eq(t, c.want, table.MayHaveLost(at(c.from), at(c.until), at(c.silentSince)), must.Sprint(c))
+	}
+	table.RemoveExpired(at(0).Add(DeadMemberRetention + time.Second))
+	must.Eq(t, 0, table.CountReplaced(at(0)))
+}
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -11,6 +11,10 @@
 // those of the streams before. The copies are found by the id of the request that brought the
 // stream's first event. A stream whose origin is not found does not go on while there may be another
 // version: a refusal costs its caller less than events that do not fit.
+//
+// There is one exception. A daemon that is lost before it has heard of a second version has
+// copied nothing, and the origins of its streams are lost with it. But each of them began at the
+// only version that served before, the preceding one.
 package origin
 
 import "time"
@@ -55,8 +59,15 @@
 
 // versions are the software versions of a service.
 type versions struct {
-	serving map[string]bool
-	endedAt map[string]time.Time // when the last target of a version was removed
+	serving   map[string]bool
+	endedAt   map[string]time.Time // when the last target of a version was removed
+	preceding *Preceding           // nil if it is not known
+}
+
+// Preceding is the version that alone served a service until a second one appeared.
+type Preceding struct {
+	Version string
+	EndedAt time.Time // when this daemon heard of the second version
 }
 
 // New returns a tracker of a daemon that starts.
@@ -74,8 +85,10 @@
 	for service, current := range serving {
 		known := t.versionsOf(service)
 		hadSeveral := t.SeveralVersions(service, now)
+		before := t.recentVersions(service, now)
 		known.replace(current, now)
 		if !hadSeveral && t.SeveralVersions(service, now) {
+			known.endPreceding(before, now)
 			t.copyAll(service)
 		}
 	}
@@ -106,6 +119,28 @@
 	v.serving = current
 }
 
+// endPreceding records that a second version has appeared beside those that served before.
+func (v *versions) endPreceding(before map[string]bool, now time.Time) {
+	v.preceding = nil
+	if len(before) != 1 {
+		return
+	}
+	for version := range before {
+		v.preceding = &Preceding{version, now}
+	}
+}
+
+// Preceding returns the version at which a stream of a service began whose daemon was lost
+// before it had heard of a second version. It reports false if that is not known, or if the
+// second version appeared so long ago that no such stream is taken up any more.
+func (t *Tracker) Preceding(service string, now time.Time) (preceding Preceding, known bool) {
+	versions := t.services[service]
+	if versions == nil || versions.preceding == nil || now.Sub(versions.preceding.EndedAt) > 2*Lifetime {
+		return Preceding{}, false
+	}
+	return *versions.preceding, true
+}
+
 // copyAll makes the origins of a service's streams pending.
 func (t *Tracker) copyAll(service string) {
 	for _, kept := range []map[uint64]Origin{t.older, t.recent} {
--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -6,6 +6,25 @@
 	"time"
 )
 
+// SpreadTime is how long after this daemon another one may hear of a new version: as long as
+// changes of the list of targets take to reach all daemons.
+const SpreadTime = 4 * time.Second
+
+// Recorded is what the platform's store holds of a service.
+type Recorded struct {
+	Versions []string // that serve, or did lately
+	// Preceding is the version that alone served until SpreadTime ago or later, so that
+	// daemons may not have heard of the others. Nil if there is none, or if it is not known.
+	Preceding *string
+}
+
+// equals reports whether two records hold the same.
+func (r Recorded) equals(other Recorded) bool {
+	samePreceding := r.Preceding == nil && other.Preceding == nil ||
+		r.Preceding != nil && other.Preceding != nil && *r.Preceding == *other.Preceding
+	return samePreceding && slices.Equal(r.Versions, other.Versions)
+}
+
 // record is what the platform's store holds, as far as a daemon knows: the software versions
 // of each service that serve or did lately. It outlives a loss of all daemons, after
 // which the list of targets alone says nothing of a version that has left.
@@ -15,22 +34,26 @@
 	// has just started for the first time.
 	complete bool
 	loadedAt time.Time
-	services map[string]map[string]bool
+	services map[string]Recorded
 }
 
-// LoadRecord sets the versions that the store holds, by service, as read at the start of a
+// LoadRecord sets what the store holds, by service, as read at the start of a
 // daemon or after the store was restored. FirstStart says that the system has just started
 // for the first time. A recorded version that does not serve may have left just now.
-func (t *Tracker) LoadRecord(versionsByService map[string][]string, firstStart bool, now time.Time) {
-	if !t.record.loaded {
+func (t *Tracker) LoadRecord(recordedByService map[string]Recorded, firstStart bool, now time.Time) {
+	isFirst := !t.record.loaded
+	if isFirst {
 		t.record.loadedAt, t.record.complete = now, firstStart
 	}
 	t.record.loaded = true
-	t.record.services = make(map[string]map[string]bool)
-	for service, recorded := range versionsByService {
+	t.record.services = make(map[string]Recorded)
+	for service, recorded := range recordedByService {
 		t.SetRecorded(service, recorded)
 		known := t.versionsOf(service)
-		for _, version := range recorded {
+		if isFirst {
+			known.restorePreceding(recorded, now)
+		}
+		for _, version := range recorded.Versions {
 			if _, ended := known.endedAt[version]; !known.serving[version] && !ended {
 				known.endedAt[version] = now
 			}
@@ -38,25 +61,40 @@
 	}
 }
 
-// SetRecorded records that the store holds these versions of a service.
-func (t *Tracker) SetRecorded(service string, recorded []string) {
-	t.record.services[service] = make(map[string]bool)
-	for _, version := range recorded {
-		t.record.services[service][version] = true
+// restorePreceding records which version alone served before this daemon started, if there are
+// others by now.
+func (v *versions) restorePreceding(recorded Recorded, now time.Time) {
+	if recorded.Preceding != nil {
+		v.preceding = &Preceding{*recorded.Preceding, now}
+		return
+	}
+	for version := range v.serving {
+		if len(recorded.Versions) == 1 && version != recorded.Versions[0] {
+			v.preceding = &Preceding{recorded.Versions[0], now}
+		}
 	}
 }
 
-// Unrecorded returns the services whose record in the store must be replaced, with the
-// versions that it must hold. It returns none before the record has been loaded.
-func (t *Tracker) Unrecorded(now time.Time) map[string][]string {
-	unrecorded := make(map[string][]string)
+// SetRecorded records what the store holds of a service.
+func (t *Tracker) SetRecorded(service string, recorded Recorded) {
+	recorded.Versions = slices.Sorted(slices.Values(recorded.Versions))
+	t.record.services[service] = recorded
+}
+
+// Unrecorded returns the services whose record in the store must be replaced, with what it
+// must hold. It returns none before the record has been loaded.
+func (t *Tracker) Unrecorded(now time.Time) map[string]Recorded {
+	unrecorded := make(map[string]Recorded)
 	if !t.record.loaded {
 		return unrecorded
 	}
 	for service := range t.services {
-		versions := t.recentVersions(service, now)
-		if len(versions) > 0 && !maps.Equal(versions, t.record.services[service]) {
-			unrecorded[service] = slices.Sorted(maps.Keys(versions))
+		current := Recorded{Versions: slices.Sorted(maps.Keys(t.recentVersions(service, now)))}
+		if preceding, known := t.Preceding(service, now); known && now.Sub(preceding.EndedAt) <= SpreadTime {
+			current.Preceding = &preceding.Version
+		}
+		if len(current.Versions) > 0 && !current.equals(t.record.services[service]) {
+			unrecorded[service] = current
 		}
 	}
 	return unrecorded
--- a/internal/coordination/origin/record_test.go
+++ b/internal/coordination/origin/record_test.go
@@ -24,16 +24,16 @@
 		name       string
 		serving    []string
 		loads      bool
-		record     map[string][]string
+		record     map[string]Recorded
 		firstStart bool
 		several    bool // after the load
 		later      bool // when all that may have left is forgotten
 	}{
 		{"record not read", []string{"v1"}, false, nil, false, true, true},
-		{"same version", []string{"v1"}, true, map[string][]string{"s": {"v1"}}, false, false, false},
-		{"another version has left", []string{"v2"}, true, map[string][]string{"s": {"v1"}}, false, true, false},
-		{"one of two versions has left", []string{"v2"}, true, map[string][]string{"s": {"v1", "v2"}}, false, true, false},
-		{"two versions serve", []string{"v1", "v2"}, true, map[string][]string{"s": {"v1", "v2"}}, false, true, true},
+		{"same version", []string{"v1"}, true, recorded("v1"), false, false, false},
+		{"another version has left", []string{"v2"}, true, recorded("v1"), false, true, false},
+		{"one of two versions has left", []string{"v2"}, true, recorded("v1", "v2"), false, true, false},
+		{"two versions serve", []string{"v1", "v2"}, true, recorded("v1", "v2"), false, true, true},
 		{"the system's first start", []string{"v1"}, true, nil, true, false, false},
 		{"the record was lost", []string{"v1"}, true, nil, false, true, false},
 	}
@@ -64,20 +64,97 @@
 		}
 		return map[string]map[string]bool{"s": current}
 	}
+	withPreceding := func(preceding string, versions ...string) map[string]Recorded {
+		return map[string]Recorded{"s": {Versions: versions, Preceding: &preceding}}
+	}
 	tracker := New(start)
 	tracker.SetVersions(serving("v1"), start)
 	must.MapEmpty(t, tracker.Unrecorded(start), must.Sprint("nothing is written before the record has been read"))
 	tracker.LoadRecord(nil, true, start)
-	must.Eq(t, map[string][]string{"s": {"v1"}}, tracker.Unrecorded(start))
-	tracker.SetRecorded("s", []string{"v1"})
+	must.Eq(t, recorded("v1"), tracker.Unrecorded(start))
+	tracker.SetRecorded("s", Recorded{Versions: []string{"v1"}})
 	must.MapEmpty(t, tracker.Unrecorded(start))
 	tracker.SetVersions(serving("v1", "v2"), start)
-	must.Eq(t, map[string][]string{"s": {"v1", "v2"}}, tracker.Unrecorded(start))
-	tracker.SetRecorded("s", []string{"v1", "v2"})
+	must.Eq(t, withPreceding("v1", "v1", "v2"), tracker.Unrecorded(start))
+	tracker.SetRecorded("s", withPreceding("v1", "v2", "v1")["s"])
+	must.MapEmpty(t, tracker.Unrecorded(start.Add(SpreadTime)))
+	must.Eq(t, recorded("v1", "v2"), tracker.Unrecorded(start.Add(SpreadTime+time.Second)), must.Sprint("all daemons know v2 by now"))
+	tracker.SetRecorded("s", Recorded{Versions: []string{"v1", "v2"}})
 	tracker.SetVersions(serving("v2"), start)
 	must.MapEmpty(t, tracker.Unrecorded(start.Add(2*Lifetime)), must.Sprint("a stream of v1 may still be taken up"))
-	must.Eq(t, map[string][]string{"s": {"v2"}}, tracker.Unrecorded(start.Add(2*Lifetime+time.Second)))
+	must.Eq(t, recorded("v2"), tracker.Unrecorded(start.Add(2*Lifetime+time.Second)))
 	// A store that was restored from a copy may hold an older record.
-	tracker.LoadRecord(map[string][]string{"s": {"v0"}}, false, start)
-	must.Eq(t, map[string][]string{"s": {"v0", "v1", "v2"}}, tracker.Unrecorded(start))
+	tracker.LoadRecord(recorded("v0"), false, start)
+	must.Eq(t, recorded("v0", "v1", "v2"), tracker.Unrecorded(start.Add(SpreadTime+time.Second)))
+}
+
+// recorded returns the record of versions of the one service of these tests.
+func recorded(versions ...string) map[string]Recorded {
+	return map[string]Recorded{"s": {Versions: versions}}
+}
+
+// Guards against streams of lost daemons that are refused for good once a second version
+// appears: which version they began at must be known in each order of events, or be unknown.
+func TestPrecedingVersion(t *testing.T) {
+	const unknown = "unknown"
+	load := func(firstStart bool, versions ...string) func(*Tracker, time.Time) {
+		return func(tracker *Tracker, now time.Time) {
+			record := map[string]Recorded{"writers": {Versions: versions}}
+			if len(versions) == 0 {
+				record = nil
+			}
+			tracker.LoadRecord(record, firstStart, now)
+		}
+	}
+	loadSpreading := func(preceding string, versions ...string) func(*Tracker, time.Time) {
+		return func(tracker *Tracker, now time.Time) {
+			tracker.LoadRecord(map[string]Recorded{"writers": {Versions: versions, Preceding: &preceding}}, false, now)
+		}
+	}
+	list := func(versions ...string) func(*Tracker, time.Time) {
+		return func(tracker *Tracker, now time.Time) { tracker.SetVersions(serving(versions...), now) }
+	}
+	wait := func(*Tracker, time.Time) {}
+	type steps []func(*Tracker, time.Time)
+	cases := []struct {
+		name  string
+		steps steps // 10 s apart, the last one when it is asked
+		want  string
+	}{
+		{"a second version joins", steps{load(true), list("v1"), list("v1", "v2")}, "v1"},
+		{"a version is replaced at once", steps{load(true), list("v1"), list("v2")}, "v1"},
+		{"a version is replaced after a pause", steps{load(true), list("v1"), list(), list("v2")}, "v1"},
+		{"a third version joins", steps{load(true), list("v1"), list("v1", "v2"), list("v1", "v2", "v3")}, "v1"},
+		{"the second version has left again", steps{load(true), list("v1"), list("v1", "v2"), list("v1")}, "v1"},
+		{"one version", steps{load(true), list("v1")}, unknown},
+		{"two versions at the first start", steps{load(true), list("v1", "v2")}, unknown},
+		{"a third version joins two", steps{load(true), list("v1", "v2"), list("v1", "v2", "v3")}, unknown},
+		{"long ago", steps{load(true), list("v1"), list("v1", "v2"), wait, wait, wait, wait, wait, wait, wait}, unknown},
+		{"joined while no daemon ran, record first", steps{load(false, "v1"), list("v1", "v2")}, "v1"},
+		{"joined while no daemon ran, list first", steps{list("v1", "v2"), load(false, "v1")}, "v1"},
+		{"joined after the start, record last", steps{list("v1"), list("v1", "v2"), load(false, "v1")}, "v1"},
+		{"replaced while no daemon ran", steps{load(false, "v1"), list("v2")}, "v1"},
+		{"joined just before all were lost", steps{loadSpreading("v1", "v1", "v2"), list("v1", "v2")}, "v1"},
+		{"both served before all were lost", steps{load(false, "v1", "v2"), list("v1", "v2")}, unknown},
+		{"the record was lost", steps{load(false), list("v1"), list("v1", "v2")}, unknown},
+		{"no record could be read", steps{list("v1"), list("v1", "v2")}, unknown},
+		{"a restored record names an older version", steps{load(true), list("v1"), load(false, "v0")}, unknown},
+		{"an empty version", steps{load(true), list(""), list("", "v2")}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := start
+			tracker := New(now)
+			for _, step := range c.steps {
+				now = now.Add(10 * time.Second)
+				step(tracker, now)
+				tracker.Expire(now)
+			}
+			got := unknown
+			if preceding, known := tracker.Preceding("writers", now); known {
+				got = preceding.Version
+			}
+			must.Eq(t, c.want, got)
+		})
+	}
 }
--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -25,6 +25,7 @@
 // versionedFleet is daemons before engines of several software versions.
 type versionedFleet struct {
 	t       *testing.T
+	store   *standin.Store
 	daemons []*testFixture
 	engines []*standin.Target
 	gone    []*standin.Target // engines that have been removed
@@ -34,7 +35,7 @@
 // the default version.
 func newVersionedFleet(t *testing.T, daemons, enginesPerVersion int, versions ...string) *versionedFleet {
 	f, writers, _ := newFixtureWithRetries(t, 20*defaultRetryExtra) // every stream is resumed
-	fleet := &versionedFleet{t: t, daemons: []*testFixture{f}, engines: writers[:]}
+	fleet := &versionedFleet{t: t, store: f.store, daemons: []*testFixture{f}, engines: writers[:]}
 	for len(fleet.daemons) < daemons {
 		fleet.daemons = append(fleet.daemons, f.startPeer(f.store.Address()))
 	}
@@ -54,12 +55,11 @@
 
 // startEngines starts engines of a software version and adds their entries.
 func (v *versionedFleet) startEngines(count int, version string) {
-	f := v.daemons[0]
 	for range count {
 		engine := standin.NewTarget(fmt.Sprintf("writer-%d-%s", len(v.engines), version), true)
 		engine.SoftwareVersion = version
-		f.t.Cleanup(engine.Crash)
-		f.store.Put(platform.KindTargets, engine.ID, engine.Spec("writers", "north", "ready"))
+		v.t.Cleanup(engine.Crash)
+		v.store.Put(platform.KindTargets, engine.ID, engine.Spec("writers", "north", "ready"))
 		v.engines = append(v.engines, engine)
 	}
 }
@@ -81,7 +81,7 @@
 			continue
 		}
 		engine.Crash()
-		v.daemons[0].store.Delete(platform.KindTargets, engine.ID)
+		v.store.Delete(platform.KindTargets, engine.ID)
 	}
 	v.gone = append(v.gone, slices.DeleteFunc(slices.Clone(v.engines), func(e *standin.Target) bool { return e.SoftwareVersion != version })...)
 	v.engines = left
@@ -230,7 +230,7 @@
 	}
 	whileDown()
 	count := len(v.daemons)
-	first := &testFixture{t: v.t, store: v.daemons[0].store, client: v.daemons[0].client, grace: shortGrace, retryExtra: v.daemons[0].retryExtra, restarted: true}
+	first := &testFixture{t: v.t, store: v.store, client: v.daemons[0].client, grace: shortGrace, retryExtra: v.daemons[0].retryExtra, restarted: true}
 	first.start()
 	v.daemons = []*testFixture{first}
 	for len(v.daemons) < count {
@@ -259,7 +259,7 @@
 // recordedOrigins returns the number of streams whose origins the store holds.
 func (v *versionedFleet) recordedOrigins() int {
 	requests := make(map[uint64]bool)
-	for _, spec := range v.daemons[0].store.Specs(kindOrigins) {
+	for _, spec := range v.store.Specs(kindOrigins) {
 		var stored storedOrigins
 		var record peerpb.StreamOriginRecord
 		must.NoError(v.t, errors.Join(json.Unmarshal(spec, &stored), proto.Unmarshal(stored.Origins, &record)))
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -52,26 +52,30 @@
 	if !req.takesUpStream() {
 		return true
 	}
-	resolution := g.coordinator.resolveOrigin(req)
-	complete := true
-	if !resolution.Found && req.call.Resumes != "" {
-		resolution, complete = g.peers.findOrigin(req, resolution)
+	search := originSearch{Resolution: g.coordinator.resolveOrigin(req), complete: true}
+	if !search.Found && req.call.Resumes != "" {
+		search = g.peers.findOrigin(req, search.Resolution)
 	}
-	inVain := false
-	if !resolution.Found && req.call.Resumes != "" && (resolution.SeveralVersions || resolution.Unknown || !complete) {
-		var recordRead bool
-		resolution, recordRead = g.findRecordedOrigin(req, resolution)
-		inVain = recordRead && complete
+	recordRead := false
+	if !search.Found && req.call.Resumes != "" && (search.SeveralVersions || search.Unknown || !search.complete) {
+		search.Resolution, recordRead = g.findRecordedOrigin(req, search.Resolution)
 	}
-	if resolution.Found {
-		req.pinVersion(resolution.Version)
+	if search.Found {
+		req.pinVersion(search.Version)
 		return true
 	}
-	if complete && !resolution.SeveralVersions && !resolution.Unknown {
+	if search.complete && !search.SeveralVersions && !search.Unknown {
+		return true
+	}
+	if version, known := g.precedingVersion(req, search, recordRead); known {
+		g.log.Info("stream of a lost daemon goes on at the preceding version", "request", req.call.ID, "resumes", req.call.Resumes,
+			"service", req.service, "target_version", version, "record_read", recordRead, "copies_searched", search.copiesSearched)
+		req.pinVersion(version)
 		return true
 	}
 	g.log.Info("stream cannot be taken up", "request", req.call.ID, "resumes", req.call.Resumes, "service", req.service,
-		"several_versions", resolution.SeveralVersions, "peers_answered", complete)
+		"several_versions", search.SeveralVersions, "peers_answered", search.complete, "record_read", recordRead)
+	inVain := recordRead && search.complete
 	g.refuse(req.callerRequest, reasonUnknownOrigin, g.retryAfterLostOrigin(req, inVain))
 	req.reason = reasonUnknownOrigin
 	g.recordResult(req, "not_run")
@@ -304,6 +308,9 @@
 // of a stream.
 func (p *peers) FindOrigin(_ context.Context, query *peerpb.StreamOriginQuery) (*peerpb.StreamOriginReply, error) {
 	reply := &peerpb.StreamOriginReply{}
+	if version, mayBeLost := p.lostAtPreceding(query.GetService()); mayBeLost {
+		reply.PrecedingVersion = version
+	}
 	c := p.gateway.coordinator
 	c.do(func() {
 		o, found := c.origins.Find(query.GetRequest())
@@ -313,17 +320,28 @@
 	return reply, nil
 }
 
+// originSearch is what a search for the origin of a stream has brought.
+type originSearch struct {
+	origin.Resolution
+	// complete is false if there are other daemons and none of them has answered.
+	complete bool
+	// unanswered is set if a daemon that counts as alive has not answered.
+	unanswered bool
+	// copiesSearched is set if a copy of the origin would have been found if there were any.
+	copiesSearched bool
+	// preceding are the versions that, as the others say, alone served before the present ones.
+	preceding []string
+}
+
 // findOrigin asks other daemons for the origin of the stream that a request takes up, all at
-// once, and returns what the first one knows that knows it. Complete is false if there are
-// other daemons and none of them has answered.
-func (p *peers) findOrigin(req *relayedRequest, known origin.Resolution) (found origin.Resolution, complete bool) {
+// once, and returns what the first one knows that knows it.
+func (p *peers) findOrigin(req *relayedRequest, known origin.Resolution) originSearch {
 	ctx, cancel := context.WithTimeout(req.r.Context(), originQueryTimeout)
 	defer cancel()
 	query := &peerpb.StreamOriginQuery{Request: req.originKey(), Service: req.service}
 	replies := make(chan *peerpb.StreamOriginReply)
 	var calls sync.WaitGroup
 	asked := ranking.Top(query.GetRequest(), p.originKeepers(), originCandidates)
-	answered := false
 	for _, address := range asked {
 		calls.Go(func() {
 			reply, err := p.client.FindOrigin(ctx, address, query)
@@ -338,13 +356,76 @@
 		})
 	}
 	go func() { calls.Wait(); close(replies) }()
+	search := originSearch{Resolution: known}
+	answered := 0
 	for reply := range replies {
 		if reply.GetFound() {
-			return origin.Resolution{Found: true, Version: reply.GetVersion()}, true
+			return originSearch{Resolution: origin.Resolution{Found: true, Version: reply.GetVersion()}, complete: true}
+		}
+		answered++
+		search.SeveralVersions = search.SeveralVersions || reply.GetSeveralVersions()
+		if reply.PrecedingVersion != nil {
+			search.preceding = append(search.preceding, reply.GetPrecedingVersion())
 		}
-		answered = true
-		known.SeveralVersions = known.SeveralVersions || reply.GetSeveralVersions()
 	}
-	known.Unknown = known.Unknown && !answered
-	return known, answered || len(asked) == 0
+	search.Unknown = search.Unknown && answered == 0
+	search.complete = answered > 0 || len(asked) == 0
+	search.unanswered = answered < len(asked)
+	search.copiesSearched = p.copiesSearched(len(asked), answered)
+	return search
+}
+
+// copiesSearched reports whether a copy of an origin would have been found at the daemons that
+// have answered: fewer daemons are lost than have copies, and those that are left are most of
+// all, so that this one is not on the smaller side of a partition. A daemon that has just started
+// cannot know how many were lost.
+func (p *peers) copiesSearched(asked, answered int) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	live, silent := p.table.CountLive(now)
+	lost := silent + asked - answered + p.table.CountReplaced(now.Add(-2*origin.Lifetime))
+	left := 1 + live - (asked - answered)
+	seesAll := p.gateway.settings.FirstStart || now.Sub(p.startedAt) > 2*origin.Lifetime
+	return seesAll && answered > 0 && lost < originCopies && left > lost
+}
+
+// precedingVersion returns the version at which a stream began that nobody knows although
+// several versions serve, if that follows from all that is known: its daemon was lost before it
+// had heard of a second version, or it would have copied the origin. A copy or its record would
+// have been found.
+func (g *Gateway) precedingVersion(req *relayedRequest, search originSearch, recordRead bool) (version string, known bool) {
+	if req.call.Resumes == "" || !recordRead && !search.copiesSearched {
+		return "", false
+	}
+	versions := search.preceding
+	if own, mayBeLost := g.peers.lostAtPreceding(req.service); mayBeLost || own != nil && search.unanswered {
+		versions = append(versions, *own)
+	}
+	if len(versions) == 0 || len(slices.Compact(slices.Sorted(slices.Values(versions)))) > 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// minSilence is how long a daemon must not have been heard of to count as one that may have been
+// lost. In a small fleet each other one is heard of in this time; in a larger one some are not.
+const minSilence = 4 * exchangeInterval
+
+// lostAtPreceding returns the version that alone served a service before the present ones, nil
+// if that is not known, and whether a daemon may have been lost that had not heard of these. A
+// daemon that has started since cannot know whether one was.
+func (p *peers) lostAtPreceding(service string) (version *string, mayBeLost bool) {
+	now := time.Now()
+	var preceding origin.Preceding
+	known := false
+	p.gateway.coordinator.do(func() { preceding, known = p.gateway.coordinator.origins.Preceding(service, now) })
+	if !known {
+		return nil, false
+	}
+	from, until := preceding.EndedAt.Add(-2*origin.Lifetime), preceding.EndedAt.Add(origin.SpreadTime)
+	startedSince := p.startedAt.After(from) && !p.gateway.settings.FirstStart
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &preceding.Version, startedSince || p.table.MayHaveLost(from, until, now.Add(-minSilence))
 }
--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -61,7 +61,8 @@
 
 // storedVersions is the spec of an object of kindVersions.
 type storedVersions struct {
-	Versions []string `json:"versions"`
+	Versions  []string `json:"versions"`
+	Preceding *string  `json:"preceding,omitempty"`
 }
 
 // storedOrigins is the spec of an object of kindOrigins.
@@ -119,23 +120,32 @@
 	if err != nil {
 		return false, err
 	}
-	recorded := make(map[string][]string)
+	recorded := make(map[string]origin.Recorded)
 	for _, object := range list {
 		var stored storedVersions
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
 			r.gateway.log.Warn("cannot decode the recorded versions of a service", "service", object.Name, "error", err)
 			continue // as if it was lost
 		}
-		recorded[object.Name] = stored.Versions
+		recorded[object.Name] = origin.Recorded(stored)
 		several = several || len(stored.Versions) > 1
 	}
 	r.gateway.coordinator.do(func() {
 		r.gateway.coordinator.origins.LoadRecord(recorded, r.gateway.settings.FirstStart, time.Now())
 	})
-	r.gateway.log.Warn("record of software versions loaded", "services", len(recorded), "versions", fmt.Sprint(recorded))
+	r.gateway.log.Warn("record of software versions loaded", "services", len(recorded), "recorded", loggedVersions(recorded))
 	return several, nil
 }
 
+// loggedVersions returns the recorded versions for a log line.
+func loggedVersions(recorded map[string]origin.Recorded) string {
+	versions := make(map[string][]string, len(recorded))
+	for service, r := range recorded {
+		versions[service] = r.Versions
+	}
+	return fmt.Sprint(versions)
+}
+
 // reloadOrigins reads the origins of streams.
 func (r *streamRecord) reloadOrigins(ctx context.Context) error {
 	list, _, err := r.gateway.store.List(ctx, kindOrigins, false)
@@ -211,21 +221,21 @@
 		}
 		unrecorded = r.unrecorded() // without what the daemons before this one have written
 	}
-	for service, versions := range unrecorded {
-		if err := r.gateway.store.Put(ctx, kindVersions, service, storedVersions{versions}); err != nil {
+	for service, current := range unrecorded {
+		if err := r.gateway.store.Put(ctx, kindVersions, service, storedVersions(current)); err != nil {
 			r.gateway.log.Warn("versions of a service cannot be recorded", "service", service, "error", err)
 			sleep(ctx, recordRetryDelay)
 			continue
 		}
-		r.gateway.log.Warn("versions of a service recorded", "service", service, "versions", fmt.Sprint(versions))
-		r.gateway.coordinator.do(func() { r.gateway.coordinator.origins.SetRecorded(service, versions) })
+		r.gateway.log.Warn("versions of a service recorded", "service", service, "versions", fmt.Sprint(current.Versions))
+		r.gateway.coordinator.do(func() { r.gateway.coordinator.origins.SetRecorded(service, current) })
 	}
 	return since
 }
 
 // unrecorded returns the services whose record is not up to date.
-func (r *streamRecord) unrecorded() map[string][]string {
-	var unrecorded map[string][]string
+func (r *streamRecord) unrecorded() map[string]origin.Recorded {
+	var unrecorded map[string]origin.Recorded
 	c := r.gateway.coordinator
 	c.do(func() { unrecorded = c.origins.Unrecorded(time.Now()) })
 	return unrecorded
