Daemons notice the loss of all that follow the store within the time of a change

Cause: a daemon that does not follow the store judges by the age of its data whether others do. A follower that waits for a change hears from the store each 2 s, so the age exceeds the wait and the way through the others, 3.8 s, before their loss shows. Daemons that have just started are hit in all fleets, others where three of their domain precede them.

Change: daemons tell each other how long ago they heard of one that follows the store, and follow after three rounds without (fleets of up to 36). In a fleet in which all follow, a daemon that starts does so as soon as one that has run for a while says how small it is.

--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -25,6 +25,10 @@
 	// roundsPerDoubling is how many rounds of exchanges it takes at most, in all but one
 	// of a thousand cases, until twice as many daemons know what the store has said.
 	roundsPerDoubling = 2
+	// smallFleet is the size up to which all daemons hear of a follower within
+	// followerRounds, directly or through others. A larger fleet has followers in more places than are lost at once.
+	smallFleet     = 4 * minFollowers
+	followerRounds = 3
 	// takeoverRounds is how many rounds each daemon waits longer for newer data than the
 	// one before it in the order of its failure domain. So one takes over, not all.
 	takeoverRounds = 2
@@ -34,13 +38,21 @@
 type Knowledge struct {
 	// DataAge is how long ago the store confirmed that this daemon's data is current,
 	// to this daemon or to the one from which it came.
-	DataAge      time.Duration
+	DataAge time.Duration
+	// FollowerAge is how long ago this daemon heard of one that follows the store, or followed
+	// it itself. The loss of all followers shows in it sooner than in DataAge, which grows
+	// to ResponseGap while nothing changes.
+	FollowerAge  time.Duration
 	SinceStart   time.Duration // since the start of the daemon
 	IsSeed       bool          // other daemons contact this one first
 	KnowsSeeds   bool          // there are other daemons to contact first
 	Domains      int           // number of failure domains of the fleet
 	Preceding    int           // live daemons of the failure domain that come before this one
 	DomainSize   int           // daemons of the failure domain, this one included
+	FleetSize    int           // daemons of the fleet, this one included
+	// ReportedFleetSize is the size that a daemon has reported which has run for long enough
+	// to know it; 0: not known.
+	ReportedFleetSize int
 	RoundSpacing time.Duration // time between two rounds of exchanges with other daemons
 	ResponseGap  time.Duration // longest time between two responses of the store to a daemon that follows it
 }
@@ -54,17 +66,26 @@
 // Settling reports whether the daemon has started so lately that it may not know the
 // others, and is not one of those that others contact first. What it reads from the
 // store for its start may be stale: daemons that follow the store send it what is new
-// within their first exchanges.
+// within their first exchanges. In a fleet in which all daemons follow the store none settles.
 func (k Knowledge) Settling() bool {
-	return k.SinceStart < settleTime && k.KnowsSeeds && !k.IsSeed
+	allFollow := 0 < k.ReportedFleetSize && k.ReportedFleetSize <= max(1, k.Domains)*Followers(k.Domains)
+	return !k.Settled() && k.KnowsSeeds && !k.IsSeed && !allFollow
 }
 
+// Settled reports whether the daemon has run for so long that it knows the others.
+func (k Knowledge) Settled() bool { return k.SinceStart >= settleTime }
+
 // MustFollow reports whether the daemon must follow the store itself.
 func (k Knowledge) MustFollow() bool {
 	if !k.Settling() && k.Preceding < Followers(k.Domains) {
 		return true
 	}
-	return k.DataAge > k.maxAge()
+	return k.DataAge > k.maxAge() || k.followersLost()
+}
+
+// followersLost reports whether nobody seems to follow the store.
+func (k Knowledge) followersLost() bool {
+	return k.FleetSize <= smallFleet && k.FollowerAge > followerRounds*k.RoundSpacing
 }
 
 // maxAge returns the age from which data is too old to be kept alive by followers that
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -92,6 +92,8 @@
 	// of objects. lastPeerStoreResponse is the latest such time that a peer has reported.
 	lastStoreResponse     map[string]time.Time
 	lastPeerStoreResponse time.Time
+	followerHeardAt       time.Time // when a daemon that follows the store was last heard of
+	reportedFleetSize     int       // by a daemon that has run for a while; 0: not known
 	knownRanks            []uint64  // hashes of the names of the other known daemons
 	knownRanksAt          time.Time // when knownRanks was computed
 	// avoidedUntil is until when daemons get no forwarded requests of a service.
@@ -261,6 +263,7 @@
 		StoreAgeMs:      uint32(p.storeAge(now).Milliseconds()),
 		LeavingTargets:  p.gateway.coordinator.leavingHashes(leavingPerExchange),
 	}
+	state.FollowerAgeMs, state.FleetSize = p.followerState(now)
 	if age, lately := p.gateway.targets.storeReturnAge(now); lately {
 		state.StoreReturnAgeMs = uint32(max(1, age.Milliseconds()))
 	}
@@ -409,6 +412,7 @@
 	if response := now.Add(-time.Duration(remote.GetStoreAgeMs()) * time.Millisecond); response.After(p.lastPeerStoreResponse) {
 		p.lastPeerStoreResponse = response
 	}
+	p.mergeFollowerState(remote, now)
 	switch {
 	case !p.gateway.targets.followsStore():
 		p.behindSince = time.Time{}
@@ -445,6 +449,43 @@
 	return min(max(now.Sub(confirmed), 0), time.Hour)
 }
 
+// followerAge returns how long ago this daemon heard of one that follows the store, itself
+// included, one hour at most.
+func (p *peers) followerAge(now time.Time) time.Duration {
+	follows := p.gateway.targets.followsStore()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if follows {
+		p.followerHeardAt = now
+	}
+	return min(max(now.Sub(p.followerHeardAt), 0), time.Hour)
+}
+
+// followerState returns what peers need to know in order to decide whether they must follow
+// the store.
+func (p *peers) followerState(now time.Time) (followerAgeMs, fleetSize uint32) {
+	age := p.followerAge(now)
+	if p.storeKnowledge().Settled() {
+		fleetSize = uint32(p.knownDaemons())
+	}
+	return 1 + uint32(age.Milliseconds()), fleetSize
+}
+
+// mergeFollowerState merges what a peer has said of the daemons that follow the store. A peer of
+// an earlier build says nothing, and counts as one that follows it. The caller holds mu.
+func (p *peers) mergeFollowerState(remote *peerpb.MeshState, now time.Time) {
+	heardAt := now
+	if age := remote.GetFollowerAgeMs(); age > 0 {
+		heardAt = now.Add(-time.Duration(age-1) * time.Millisecond)
+	}
+	if heardAt.After(p.followerHeardAt) {
+		p.followerHeardAt = heardAt
+	}
+	if size := remote.GetFleetSize(); size > 0 {
+		p.reportedFleetSize = int(size)
+	}
+}
+
 // mustFollowStore reports whether this daemon must follow the store itself.
 func (p *peers) mustFollowStore() bool { return p.storeKnowledge().MustFollow() }
 
@@ -455,20 +496,23 @@
 // storeKnowledge returns what decides whether this daemon must follow the store.
 func (p *peers) storeKnowledge() storefollow.Knowledge {
 	now := time.Now()
-	age := p.storeAge(now)
+	age, followerAge := p.storeAge(now), p.followerAge(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	preceding, domainSize := p.table.Preceding(now)
 	return storefollow.Knowledge{
-		DataAge:      age,
-		SinceStart:   now.Sub(p.startedAt),
-		IsSeed:       p.isSeed,
-		KnowsSeeds:   len(p.seeds) > 0,
-		Domains:      len(p.gateway.settings.PlaceByFailureDomain),
-		Preceding:    preceding,
-		DomainSize:   domainSize,
-		RoundSpacing: exchangeInterval,
-		ResponseGap:  watchTimeout(p.gateway.settings),
+		DataAge:           age,
+		FollowerAge:       followerAge,
+		SinceStart:        now.Sub(p.startedAt),
+		IsSeed:            p.isSeed,
+		KnowsSeeds:        len(p.seeds) > 0,
+		Domains:           len(p.gateway.settings.PlaceByFailureDomain),
+		Preceding:         preceding,
+		DomainSize:        domainSize,
+		FleetSize:         p.table.Count(),
+		ReportedFleetSize: p.reportedFleetSize,
+		RoundSpacing:      exchangeInterval,
+		ResponseGap:       watchTimeout(p.gateway.settings),
 	}
 }
 
