A daemon that is cut off does not take its own view of software versions for whole

Cause: that no daemon which answers knows another version was read as that there is none, also if none was asked, or only some that are cut off together; the store was not asked, or its answer could be a second old.

Change: a search is complete if the first 8 of all known daemons, the silent included, have answered. Else the store decides, read after the request has come; without it the stream is refused. So the preceding version, too, is taken only with the store's word. A daemon that cannot send origins to the one that records them records them itself, and one that writes versions reads them before.

--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -208,33 +208,6 @@
 	return slices.ContainsFunc(t.replacedSeenAt, within)
 }
 
-// CountReplaced returns how many incarnations of other daemons that were last heard of since a
-// time have been replaced by later ones.
-func (t *Table) CountReplaced(since time.Time) int {
-	count := 0
-	for _, seenAt := range t.replacedSeenAt {
-		if !seenAt.Before(since) {
-			count++
-		}
-	}
-	return count
-}
-
-// CountLive returns how many other daemons are considered alive, and how many have fallen
-// silent without having announced that they leave.
-func (t *Table) CountLive(now time.Time) (live, silent int) {
-	for _, peer := range t.peers {
-		switch {
-		case peer.entry.GetLeaving():
-		case t.alive(peer, now):
-			live++
-		default:
-			silent++
-		}
-	}
-	return live, silent
-}
-
 // alive reports whether a member is within its timeout, or within its grace period
 // after a pause of this daemon. If this daemon has been paused since it last
 // advanced its own heartbeat, the time of that advance replaces now.
--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -39,13 +39,15 @@
 
 // LoadRecord sets what the store holds, by service, as read at the start of a
 // daemon or after the store was restored. FirstStart says that the system has just started
-// for the first time. A recorded version that does not serve may have left just now.
+// for the first time. A recorded version that does not serve and was not recorded before may have
+// left just now.
 func (t *Tracker) LoadRecord(recordedByService map[string]Recorded, firstStart bool, now time.Time) {
 	isFirst := !t.record.loaded
 	if isFirst {
 		t.record.loadedAt, t.record.complete = now, firstStart
 	}
 	t.record.loaded = true
+	before := t.record.services
 	t.record.services = make(map[string]Recorded)
 	for service, recorded := range recordedByService {
 		t.SetRecorded(service, recorded)
@@ -54,7 +56,7 @@
 			known.restorePreceding(recorded, now)
 		}
 		for _, version := range recorded.Versions {
-			if _, ended := known.endedAt[version]; !known.serving[version] && !ended {
+			if _, ended := known.endedAt[version]; !known.serving[version] && !ended && !slices.Contains(before[service].Versions, version) {
 				known.endedAt[version] = now
 			}
 		}
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -52,7 +52,7 @@
 	if !req.takesUpStream() {
 		return true
 	}
-	search := originSearch{Resolution: g.coordinator.resolveOrigin(req), complete: true}
+	search := originSearch{Resolution: g.coordinator.resolveOrigin(req)}
 	if !search.Found && req.call.Resumes != "" {
 		search = g.peers.findOrigin(req, search.Resolution)
 	}
@@ -64,12 +64,13 @@
 		req.pinVersion(search.Version)
 		return true
 	}
-	if search.complete && !search.SeveralVersions && !search.Unknown {
+	upToDate := search.complete || recordRead || req.call.Resumes == ""
+	if upToDate && !search.SeveralVersions && !search.Unknown {
 		return true
 	}
-	if version, known := g.precedingVersion(req, search, recordRead); known {
+	if version, known := g.precedingVersion(req, search); known && recordRead {
 		g.log.Info("stream of a lost daemon goes on at the preceding version", "request", req.call.ID, "resumes", req.call.Resumes,
-			"service", req.service, "target_version", version, "record_read", recordRead, "copies_searched", search.copiesSearched)
+			"service", req.service, "target_version", version)
 		req.pinVersion(version)
 		return true
 	}
@@ -82,16 +83,17 @@
 	return false
 }
 
-// findRecordedOrigin looks for the origin of the stream that a request takes up in the store:
-// the daemons that knew it may all be gone. It reports whether the store has answered.
+// findRecordedOrigin looks for the origin of the stream that a request takes up in the store, and
+// for versions of which this daemon has not heard: those that know may be gone, or this daemon
+// may be cut off from them. It reports whether the store has answered.
 func (g *Gateway) findRecordedOrigin(req *relayedRequest, known origin.Resolution) (found origin.Resolution, recordRead bool) {
 	ctx, cancel := context.WithTimeout(req.r.Context(), originQueryTimeout)
 	defer cancel()
 	recordRead = g.streamRecord.refresh(ctx)
-	if recorded := g.coordinator.resolveOrigin(req); recorded.Found {
-		return recorded, recordRead
-	}
-	return known, recordRead
+	recorded := g.coordinator.resolveOrigin(req)
+	recorded.SeveralVersions = recorded.SeveralVersions || known.SeveralVersions
+	recorded.Unknown = recorded.Unknown && known.Unknown
+	return recorded, recordRead
 }
 
 // pinVersion restricts all further attempts of the request to targets of a software version.
@@ -196,6 +198,9 @@
 					defer func() { <-calls }()
 					if err := p.client.KeepOrigins(ctx, address, batch); err != nil {
 						p.gateway.metrics.countPeerFailure()
+						if batch.GetRecord() { // this daemon may be cut off from the others only
+							p.gateway.coordinator.recordOriginsLater(decodeOrigins(batch))
+						}
 					}
 				}()
 			}
@@ -294,6 +299,32 @@
 	return keepers
 }
 
+// originHolders returns the addresses of the live daemons that may have a copy of an origin, and
+// how many silent ones may have one. A daemon that is cut off takes the others for silent.
+func (p *peers) originHolders(request uint64) (live []string, silent int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var known []ranking.Candidate
+	alive := make(map[string]bool)
+	for _, name := range p.table.KnownPeers() {
+		daemon := p.table.Member(name)
+		if daemon.GetAddress() == "" || daemon.GetLeaving() {
+			continue
+		}
+		known = append(known, ranking.Candidate{Name: daemon.GetAddress(), Weight: 1})
+		alive[daemon.GetAddress()] = p.table.Alive(name, now)
+	}
+	for _, address := range ranking.Top(request, known, originCandidates) {
+		if alive[address] {
+			live = append(live, address)
+		} else {
+			silent++
+		}
+	}
+	return live, silent
+}
+
 // KeepOrigins implements the drpc service: it keeps copies of another daemon's origins.
 func (p *peers) KeepOrigins(_ context.Context, remote *peerpb.StreamOrigins) (*peerpb.StreamOriginsKept, error) {
 	origins := decodeOrigins(remote)
@@ -323,12 +354,11 @@
 // originSearch is what a search for the origin of a stream has brought.
 type originSearch struct {
 	origin.Resolution
-	// complete is false if there are other daemons and none of them has answered.
+	// complete is set if all daemons have answered that would have been asked if none were
+	// silent, one at least.
 	complete bool
 	// unanswered is set if a daemon that counts as alive has not answered.
 	unanswered bool
-	// copiesSearched is set if a copy of the origin would have been found if there were any.
-	copiesSearched bool
 	// preceding are the versions that, as the others say, alone served before the present ones.
 	preceding []string
 }
@@ -341,7 +371,7 @@
 	query := &peerpb.StreamOriginQuery{Request: req.originKey(), Service: req.service}
 	replies := make(chan *peerpb.StreamOriginReply)
 	var calls sync.WaitGroup
-	asked := ranking.Top(query.GetRequest(), p.originKeepers(), originCandidates)
+	asked, silent := p.originHolders(query.GetRequest())
 	for _, address := range asked {
 		calls.Go(func() {
 			reply, err := p.client.FindOrigin(ctx, address, query)
@@ -360,7 +390,7 @@
 	answered := 0
 	for reply := range replies {
 		if reply.GetFound() {
-			return originSearch{Resolution: origin.Resolution{Found: true, Version: reply.GetVersion()}, complete: true}
+			return originSearch{Resolution: origin.Resolution{Found: true, Version: reply.GetVersion()}}
 		}
 		answered++
 		search.SeveralVersions = search.SeveralVersions || reply.GetSeveralVersions()
@@ -369,35 +399,16 @@
 		}
 	}
 	search.Unknown = search.Unknown && answered == 0
-	search.complete = answered > 0 || len(asked) == 0
+	search.complete = answered > 0 && answered == len(asked) && silent == 0
 	search.unanswered = answered < len(asked)
-	search.copiesSearched = p.copiesSearched(len(asked), answered)
 	return search
 }
 
-// copiesSearched reports whether a copy of an origin would have been found at the daemons that
-// have answered: fewer daemons are lost than have copies, and those that are left are most of
-// all, so that this one is not on the smaller side of a partition. A daemon that has just started
-// cannot know how many were lost.
-func (p *peers) copiesSearched(asked, answered int) bool {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	live, silent := p.table.CountLive(now)
-	lost := silent + asked - answered + p.table.CountReplaced(now.Add(-2*origin.Lifetime))
-	left := 1 + live - (asked - answered)
-	seesAll := p.gateway.settings.FirstStart || now.Sub(p.startedAt) > 2*origin.Lifetime
-	return seesAll && answered > 0 && lost < originCopies && left > lost
-}
-
 // precedingVersion returns the version at which a stream began that nobody knows although
 // several versions serve, if that follows from all that is known: its daemon was lost before it
-// had heard of a second version, or it would have copied the origin. A copy or its record would
-// have been found.
-func (g *Gateway) precedingVersion(req *relayedRequest, search originSearch, recordRead bool) (version string, known bool) {
-	if req.call.Resumes == "" || !recordRead && !search.copiesSearched {
-		return "", false
-	}
+// had heard of a second version, or it would have copied and recorded the origin. The caller must have
+// read the record.
+func (g *Gateway) precedingVersion(req *relayedRequest, search originSearch) (version string, known bool) {
 	versions := search.preceding
 	if own, mayBeLost := g.peers.lostAtPreceding(req.service); mayBeLost || own != nil && search.unanswered {
 		versions = append(versions, *own)
--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -39,9 +39,11 @@
 	versionRecordDelay = 2 * time.Second
 	// recordRetryDelay is the pause after a failed call.
 	recordRetryDelay = 200 * time.Millisecond
-	// minRecordReload is the time between two reads of the origins for callers whose streams
-	// are not known otherwise.
-	minRecordReload = time.Second
+	// minRecordReload is the time between two reads of the record for callers whose streams are not
+	// known otherwise. It is well within originQueryTimeout, for which they wait.
+	minRecordReload = 100 * time.Millisecond
+	// recordReadTimeout is how long such a read may take.
+	recordReadTimeout = time.Second
 )
 
 // streamRecord is this daemon's access to what the store holds of streams.
@@ -49,10 +51,15 @@
 	gateway *Gateway
 	stale   chan struct{} // signals that the store was restored from a copy
 
-	mu         sync.Mutex
-	reloadedAt time.Time     // when the last read of the origins began
-	reloading  chan struct{} // closed when it ended
-	reloadErr  error         // of the last read, once it ended
+	mu          sync.Mutex
+	refreshedAt time.Time      // when the last read for callers began
+	next        *recordRefresh // that has not begun yet; nil if there is none
+}
+
+// recordRefresh is a read of the record for callers.
+type recordRefresh struct {
+	done chan struct{} // closed when it has ended
+	err  error         // valid once done is closed
 }
 
 func newStreamRecord(g *Gateway) *streamRecord {
@@ -133,7 +140,7 @@
 	r.gateway.coordinator.do(func() {
 		r.gateway.coordinator.origins.LoadRecord(recorded, r.gateway.settings.FirstStart, time.Now())
 	})
-	r.gateway.log.Warn("record of software versions loaded", "services", len(recorded), "recorded", loggedVersions(recorded))
+	r.gateway.log.Info("record of software versions loaded", "services", len(recorded), "recorded", loggedVersions(recorded))
 	return several, nil
 }
 
@@ -166,36 +173,42 @@
 	return nil
 }
 
-// refresh reads the origins again for a stream that is not known otherwise, unless they were
-// read a moment ago. It returns when they have been read, or when the context ends, and
-// reports whether they have been read.
+// refresh reads the record again for a stream that is not known otherwise. It returns when a
+// read that began after the call has ended, or when the context ends, and reports whether the record has been read. An
+// earlier read may lack a stream that began and broke off since.
 func (r *streamRecord) refresh(ctx context.Context) bool {
 	r.mu.Lock()
-	if r.reloading == nil || time.Since(r.reloadedAt) > minRecordReload {
-		r.reloadedAt, r.reloading = time.Now(), make(chan struct{})
-		go func(done chan struct{}) {
-			defer close(done)
-			reloadCtx, cancel := context.WithTimeout(context.Background(), minRecordReload)
-			defer cancel()
-			err := r.reloadOrigins(reloadCtx)
-			if err != nil {
-				r.gateway.log.Info("record of streams cannot be read", "error", err)
-			}
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.reloadErr = err
-		}(r.reloading)
+	if r.next == nil {
+		r.next = &recordRefresh{done: make(chan struct{})}
+		wait := time.Until(r.refreshedAt.Add(minRecordReload))
+		time.AfterFunc(max(0, wait), func() { r.runRefresh() })
 	}
-	done := r.reloading
+	next := r.next
 	r.mu.Unlock()
 	select {
-	case <-done:
+	case <-next.done:
+		return next.err == nil
 	case <-ctx.Done():
 		return false
 	}
+}
+
+// runRefresh makes the next read for callers.
+func (r *streamRecord) runRefresh() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reloadErr == nil
+	refresh := r.next
+	r.next, r.refreshedAt = nil, time.Now()
+	r.mu.Unlock()
+	defer close(refresh.done)
+	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
+	defer cancel()
+	_, refresh.err = r.loadVersions(ctx)
+	if refresh.err == nil {
+		refresh.err = r.reloadOrigins(ctx)
+	}
+	if refresh.err != nil {
+		r.gateway.log.Info("record of streams cannot be read", "error", refresh.err)
+	}
 }
 
 // recordVersions writes the versions of services whose record is not up to date, if it is
@@ -213,14 +226,13 @@
 	if rank >= versionRecorders || now.Sub(since) < time.Duration(rank)*versionRecordDelay {
 		return since
 	}
-	if rank > 0 {
-		if _, err := r.loadVersions(ctx); err != nil {
-			r.gateway.log.Info("record of streams cannot be read", "error", err)
-			sleep(ctx, recordRetryDelay)
-			return since
-		}
-		unrecorded = r.unrecorded() // without what the daemons before this one have written
+	// A daemon that was cut off takes itself for the first one: others may have written meanwhile.
+	if _, err := r.loadVersions(ctx); err != nil {
+		r.gateway.log.Info("record of streams cannot be read", "error", err)
+		sleep(ctx, recordRetryDelay)
+		return since
 	}
+	unrecorded = r.unrecorded()
 	for service, current := range unrecorded {
 		if err := r.gateway.store.Put(ctx, kindVersions, service, storedVersions(current)); err != nil {
 			r.gateway.log.Warn("versions of a service cannot be recorded", "service", service, "error", err)
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -29,6 +29,9 @@
 
 // Client calls other daemons over pooled connections.
 type Client struct {
+	// Dial opens a connection to the daemon at an address. It may be replaced before the first
+	// call.
+	Dial       func(ctx context.Context, address string) (net.Conn, error)
 	conns      *drpcpool.Pool[string, drpcpool.Conn]
 	countBytes func(bytes int)
 }
@@ -37,6 +40,9 @@
 // write on its connections.
 func NewClient(countBytes func(bytes int)) *Client {
 	return &Client{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
 		conns:      drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: maxIdlePerPeer}),
 		countBytes: countBytes,
 	}
@@ -82,8 +88,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
