--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -17,6 +17,19 @@
 // maxLoggedTargets limits the ids in one log line about the list of targets.
 const maxLoggedTargets = 16
 
+// maxTargetBytes is the size from which an entry of the list is not kept: targets write some hundred
+// bytes. Another writer's entry may have a megabyte, which would be sent to peers with each
+// whole list.
+const maxTargetBytes = 64 << 10
+
+// dropLarge returns the object without its spec if that is too large to be a target's.
+func dropLarge(object objects.Object) objects.Object {
+	if len(object.Spec) > maxTargetBytes {
+		object.Spec = nil
+	}
+	return object
+}
+
 // targetList mirrors the platform's list of targets and forwards each change to the
 // coordinator.
 type targetList struct {
@@ -168,6 +181,9 @@
 func (l *targetList) replaceFromStore(list []objects.Object, revision objects.Revision, storeReturned bool) bool {
 	l.updateMu.Lock()
 	defer l.updateMu.Unlock()
+	for i := range list {
+		list[i] = dropLarge(list[i])
+	}
 	l.mu.Lock()
 	update := l.view.ReplaceFromStore(list, revision)
 	l.mu.Unlock()
@@ -189,7 +205,8 @@
 	// The revision of the response also counts changes of other kinds of objects. Peers
 	// compare the revision of the last change of the list.
 	last := objects.Revision{Era: until.Era}
-	for _, change := range changes {
+	for i, change := range changes {
+		changes[i].Object = dropLarge(change.Object)
 		last.Number = max(last.Number, change.Object.Revision)
 	}
 	l.mu.Lock()
