--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -218,6 +218,8 @@
 	info := platform.ParseResponseHeader(response.Header)
 	g.recordTargetState(req, response.Status, info)
 	if refusedByTarget(response.Status, info) {
+		// The body is not read, so that the connection is closed: a faulty target may write
+		// the refusal once more, and it would pass for that of a request with the same id.
 		req.reason = "refused_by_target"
 		g.recordOutcome(req, outlier.Busy, true)
 		return attempt.Refused
