--- a/internal/coordination/quarantine/answered.go
+++ b/internal/coordination/quarantine/answered.go
@@ -28,7 +28,8 @@
 	}
 }
 
-// last returns when the last answer to a prompt with the part began, the zero time if that is not known.
+// last returns when the last answer to a prompt with the part began, the zero time if that is
+// not known.
 func (a *answered) last(part uint64) time.Time {
 	if at := a.recent[part]; at.After(a.older[part]) {
 		return at
--- a/internal/coordination/quarantine/held.go
+++ b/internal/coordination/quarantine/held.go
@@ -29,8 +29,8 @@
 	all    int // all crashes in the time of these, by countSpaced; 0 if any is too small anyway
 }
 
-// support returns the evidence of the crashes for which counts returns true. Weak evidence counts once it
-// is confirmed.
+// support returns the evidence of the crashes for which counts returns true. Weak evidence counts
+// once it is confirmed.
 func (t *Tracker) support(s suspect, counts func(*crash) bool) support {
 	var found support
 	var times []time.Time
@@ -60,7 +60,8 @@
 	return s.strong >= strongCrashes || s.any >= anyCrashes && isMostCrashes || s.any >= manyCrashes
 }
 
-// isCoincidence reports whether the evidence is so little that sound requests may have waited there by chance.
+// isCoincidence reports whether the evidence is so little that sound requests may have waited
+// there by chance.
 func (s support) isCoincidence() bool { return s.strong == 0 && s.any <= 1 }
 
 // countBetween counts the crashes from one time until another, by countSpaced.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -58,8 +58,9 @@
 	// usualCrashes is how many crashes it usually takes until a feature is held back.
 	usualCrashes = 3
 	// crashLifetime is how long a daemon keeps a crash that implicates nothing that is held
-	// back. Requests that crash engines may be rare, and one answer ends all suspicion. A daemon that starts may
-	// also receive an old crash before it knows that others hold a part back for it.
+	// back. Requests that crash engines may be rare, and one answer ends all suspicion. A
+	// daemon that starts may also receive an old crash before it knows that others hold a
+	// part back for it.
 	crashLifetime = time.Hour
 	// trialDelay is the time between the last crash that implicates a held part and the first
 	// trial. It doubles with each crash beyond usualCrashes, up to maxDoublings times.
--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -26,7 +26,7 @@
 	// of a thousand cases, until twice as many daemons know what the store has said.
 	roundsPerDoubling = 2
 	// smallFleet is the size up to which all daemons hear of a follower within
-	// followerRounds, directly or through others. A larger fleet has followers in more places than are lost at once.
+	// followerRounds, directly or through others. In a larger fleet it takes longer.
 	smallFleet     = 4 * minFollowers
 	followerRounds = 3
 	// takeoverRounds is how many rounds each daemon waits longer for newer data than the
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -149,7 +149,8 @@
 	fleet.mustHaveFallen(t)
 }
 
-// Figures of the test of new targets: they do as much as those of the review's case, and get 83% of that.
+// Figures of the test of new targets, which are those of the review's case: requests come at 83%
+// of the rate that the targets can serve.
 const (
 	renewedDaemons    = 6
 	renewedRejections = 3
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -229,7 +229,7 @@
 // and returns the state of this one. If the calling daemon has a newer configuration
 // or list of targets, Exchange makes run exchange state with that daemon at once.
 func (p *peers) Exchange(_ context.Context, remote *peerpb.MeshState) (*peerpb.MeshState, error) {
-	p.mergeCrashes(remote) // first, so that the reply clears what this daemon knows to be sound
+	p.mergeCrashes(remote) // before the reply is made, which then clears what is known to be sound
 	local := p.localState(rand.New(rand.NewPCG(rand.Uint64(), 0)))
 	p.addMissing(local, remote)
 	p.merge(remote)
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -406,8 +406,8 @@
 
 // precedingVersion returns the version at which a stream began that nobody knows although
 // several versions serve, if that follows from all that is known: its daemon was lost before it
-// had heard of a second version, or it would have copied and recorded the origin. The caller must have
-// read the record.
+// had heard of a second version, or it would have copied and recorded the origin. The caller
+// must have read the record.
 func (g *Gateway) precedingVersion(req *relayedRequest, search originSearch) (version string, known bool) {
 	versions := search.preceding
 	if own, mayBeLost := g.peers.lostAtPreceding(req.service); mayBeLost || own != nil && search.unanswered {
--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -173,9 +173,9 @@
 	return nil
 }
 
-// refresh reads the record again for a stream that is not known otherwise. It returns when a
-// read that began after the call has ended, or when the context ends, and reports whether the record has been read. An
-// earlier read may lack a stream that began and broke off since.
+// refresh reads the record again for a stream that is not known otherwise, and reports whether it
+// has been read. It waits for a read that begins after the call, as an earlier one may lack a
+// stream that has begun and broken off since, but no longer than until the context ends.
 func (r *streamRecord) refresh(ctx context.Context) bool {
 	r.mu.Lock()
 	if r.next == nil {
