Evidence against a held part is sent as strong, for daemons of an earlier build

Cause: an old daemon counts five weak crashes as 5 of 15. The new ones refuse such requests meanwhile, so that the other ten crashes take longer.

Change: evidence against what is held back is sent as strong. Old daemons then hold it back after three, and new ones agree without waiting. An answer still clears it.

TestEvidenceAgainstAHeldPartIsSentAsStrong fails without the change (weak for 5 crashes, by reading). The random tests hold.

--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -233,3 +233,29 @@
 	must.NotNil(t, tracker.Check(prompt("fatal"), always, now))
 	must.LessEq(t, 2, len(tracker.Reports(2, now)))
 }
+
+// Daemons of an earlier build hold a part back for three crashes with strong evidence only. What this one
+// holds back for five weak ones must reach them as strong, and what it does not hold back as it is.
+func TestEvidenceAgainstAHeldPartIsSentAsStrong(t *testing.T) {
+	for crashes, want := range map[int]State{4: Weak, 5: Strong} {
+		tracker := New()
+		now := start
+		for engine := range crashes {
+			request := prompt("fatal")
+			request.Digest = uint64(100 + engine)
+			now = now.Add(time.Second)
+			tracker.RecordCrash(request, uint32(engine+1), NoAnswer, now)
+		}
+		now = now.Add(time.Second)
+		tracker.Expire(now)
+		reports := tracker.Reports(crashes, now)
+		must.Len(t, crashes, reports)
+		for _, report := range reports {
+			for _, evidence := range report.Evidence {
+				if evidence.Feature == PartHash("fatal") {
+					must.Eq(t, want, evidence.State, must.Sprint(crashes, " crashes"))
+				}
+			}
+		}
+	}
+}
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -68,7 +68,7 @@
 	for i, c := range sent {
 		c.sent++
 		c.wasSent = true
-		reports[i] = c.report(counts, now)
+		reports[i] = c.report(counts, t.isHeld, now)
 	}
 	return reports
 }
@@ -106,12 +106,19 @@
 	return false
 }
 
-// report returns what to send of the crash.
-func (c *crash) report(counts map[uint64]int, now time.Time) Report {
+// isHeld reports whether a feature is held back.
+func (t *Tracker) isHeld(feature uint64) bool { return t.holdOn(feature) != nil }
+
+// report returns what to send of the crash. Evidence against what is held back is sent as strong:
+// a daemon of an earlier build holds nothing back for five crashes with weak evidence.
+func (c *crash) report(counts map[uint64]int, isHeld func(feature uint64) bool, now time.Time) Report {
 	report := Report{Engine: c.engine, Age: now.Sub(c.at)}
 	var parts, shared, requests []Evidence
 	for feature, known := range c.evidence {
 		reported := Evidence{feature, known.depth, known.state}
+		if known.state == Weak && isHeld(feature) {
+			reported.State = Strong
+		}
 		isShared := known.state != Cleared && counts[feature] > 1
 		switch {
 		case !known.isRequest():
