A daemon that takes over reads all kinds of objects, not only the list of targets

Cause: the list of targets and the configuration are watched apart, and each checks every 0.2 s whether it must follow. The first that does makes the daemon a follower, so that the other no longer must until its data is stale, seconds later.

Change: a takeover lasts for one watch of each kind. Not at a start, when all read both once.

--- a/internal/coordination/storefollow/storefollow.go
+++ b/internal/coordination/storefollow/storefollow.go
@@ -80,11 +80,11 @@
 	if !k.Settling() && k.Preceding < Followers(k.Domains) {
 		return true
 	}
-	return k.DataAge > k.maxAge() || k.followersLost()
+	return k.DataAge > k.maxAge() || k.FollowersLost()
 }
 
-// followersLost reports whether nobody seems to follow the store.
-func (k Knowledge) followersLost() bool {
+// FollowersLost reports whether nobody seems to follow the store.
+func (k Knowledge) FollowersLost() bool {
 	return k.FleetSize <= smallFleet && k.FollowerAge > followerRounds*k.RoundSpacing
 }
 
--- a/internal/gateway/lost_followers_test.go
+++ b/internal/gateway/lost_followers_test.go
@@ -50,3 +50,24 @@
 	peers.merge(&peerpb.MeshState{StoreAway: true})
 	must.False(t, peers.storeKnowledge().MustFollow())
 }
+
+// Guards against a change of the configuration that is read late after a takeover because the list
+// of targets is followed a moment before: the daemon then no longer seems to need to follow.
+func TestTakeoverReadsAllKindsOfObjects(t *testing.T) {
+	f, _, _ := newFixture(t)
+	second := f.startPeer(f.store.Address())
+	peers := second.daemon.peers
+	second.within(recoveryTimeout, func() bool {
+		watched := time.Since(peers.startedAt) > watchTimeout(second.daemon.settings)+followCheckInterval
+		return watched && !peers.mustFollowStore()
+	})
+	heardOfFollower := func(at time.Time) {
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+		peers.followerHeardAt = at
+	}
+	heardOfFollower(time.Now().Add(-time.Minute))
+	must.True(t, peers.mustFollowStore())
+	heardOfFollower(time.Now()) // as when the list of targets is followed
+	must.True(t, peers.mustFollowStore(), must.Sprint("the configuration has not been read yet"))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -93,6 +93,7 @@
 	lastStoreResponse     map[string]time.Time
 	lastPeerStoreResponse time.Time
 	followerHeardAt       time.Time // when a daemon that follows the store was last heard of
+	followsUntil          time.Time // until when this daemon follows the store as it has taken over
 	reportedFleetSize     int       // by a daemon that has run for a while; 0: not known
 	knownRanks            []uint64  // hashes of the names of the other known daemons
 	knownRanksAt          time.Time // when knownRanks was computed
@@ -489,8 +490,19 @@
 	}
 }
 
-// mustFollowStore reports whether this daemon must follow the store itself.
-func (p *peers) mustFollowStore() bool { return p.storeKnowledge().MustFollow() }
+// mustFollowStore reports whether this daemon must follow the store itself. Once it has taken over
+// it does so for one watch of each kind of objects: the first kind that it follows makes it a
+// follower, which must not keep the others from being read.
+func (p *peers) mustFollowStore() bool {
+	knowledge := p.storeKnowledge()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if knowledge.FollowersLost() && !p.followerHeardAt.IsZero() {
+		p.followsUntil = now.Add(knowledge.ResponseGap)
+	}
+	return knowledge.MustFollow() || now.Before(p.followsUntil)
+}
 
 // mayReadStale reports whether this daemon may read a state of the store that is seconds
 // old.
