Logs: how the request and the connection of a caller end

A connection closed as idle, a request cut by a stop, a handler that panics or returns without a response left no line that names the request, and a cut by the daemon was logged as a caller that left.

Each has a line and a counter now.

--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -66,7 +66,7 @@
 			server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				passedOn++
 				_, _ = io.WriteString(w, r.URL.Path)
-			}), func() time.Duration { return time.Hour })
+			}), func() time.Duration { return time.Hour }, testLog{t}, newCounters())
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
 			closeIdle := func() { server.closeIdleSince(time.Now().Add(time.Hour)) }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hemlockknot/platform"
 )
 
 // Limits of callers' connections.
@@ -29,34 +31,45 @@
 	// closeAfterResponse makes the server close each connection after its next
 	// response.
 	closeAfterResponse atomic.Bool
-	inFlight           atomic.Int64 // number of requests in flight
+	log                logger
+	metrics            *counters
 
-	mu   sync.Mutex
-	idle map[*callerConn]struct{} // connections that net/http reports as idle
-	done chan struct{}            // closed by shutdown
+	mu       sync.Mutex
+	idle     map[*callerConn]struct{} // connections that net/http reports as idle
+	requests map[*requestInFlight]struct{}
+	done     chan struct{} // closed by shutdown
 }
 
-func newCallerServer(handler http.Handler, idleTimeout func() time.Duration) *callerServer {
-	s := &callerServer{idleTimeout: idleTimeout, idle: make(map[*callerConn]struct{}), done: make(chan struct{})}
+func newCallerServer(handler http.Handler, idleTimeout func() time.Duration, log logger, metrics *counters) *callerServer {
+	s := &callerServer{
+		idleTimeout: idleTimeout, log: log, metrics: metrics,
+		idle: make(map[*callerConn]struct{}), requests: make(map[*requestInFlight]struct{}), done: make(chan struct{}),
+	}
 	s.server = &http.Server{
 		Handler:           s.trackRequests(handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         s.trackConnState,
+		ErrorLog:          newServerErrorLog(log),
 	}
 	return s
 }
 
-// trackRequests counts the requests in flight and announces the end of the
-// connection in the response while closeAfterResponse is set.
+// trackRequests keeps the requests in flight and announces the end of the connection in the
+// response while closeAfterResponse is set.
 func (s *callerServer) trackRequests(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		request := &requestInFlight{id: platform.RequestID(r.Header), cancel: cancel}
+		s.begin(request)
+		defer s.end(request)
+		response := &trackedResponse{ResponseWriter: w}
+		defer s.checkEnd(request, response)
 		if s.closeAfterResponse.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(response, r.WithContext(ctx))
 	})
 }
 
@@ -104,6 +117,9 @@
 	for conn := range s.idle {
 		if conn.closeIfIdleSince(threshold) {
 			delete(s.idle, conn)
+			s.metrics.countClosedConnection("idle")
+			s.log.Info("idle connection of a caller closed", "caller", conn.RemoteAddr().String(),
+				"idle_ms", time.Since(time.Unix(0, conn.idleSince.Load())).Milliseconds(), "limit_ms", s.idleTimeout().Milliseconds())
 		}
 	}
 }
@@ -123,8 +139,9 @@
 		case err == nil:
 			return nil
 		case !onlyPartial:
+			s.cancelRequests(errGraceEnded)
 			return errors.Join(err, s.server.Close())
-		case s.inFlight.Load() == 0: // else one of them has been completed meanwhile
+		case s.countRequests() == 0: // else one of them has been completed meanwhile
 			return s.server.Close()
 		}
 	}
@@ -142,7 +159,7 @@
 	const checkInterval = 50 * time.Millisecond
 	lastInFlight := time.Now()
 	for ctx.Err() == nil {
-		if s.inFlight.Load() > 0 {
+		if s.countRequests() > 0 {
 			lastInFlight = time.Now()
 		}
 		if time.Since(lastInFlight) >= partialRequestWait {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,8 @@
 	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.streamRecord = newStreamRecord(g)
 	g.targets = newTargetList(g)
-	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout)
-	g.forwards = newCallerServer(http.HandlerFunc(g.handleForwarded), func() time.Duration { return defaultIdleTimeout })
+	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout, log, g.metrics)
+	g.forwards = newCallerServer(http.HandlerFunc(g.handleForwarded), func() time.Duration { return defaultIdleTimeout }, log, g.metrics)
 	return g, nil
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -140,6 +140,7 @@
 		req.body = body
 		return true
 	case errors.As(err, &tooLarge):
+		req.w.Header().Set("Connection", "close")
 		g.reject(req, http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
 	case errors.Is(err, errNoBufferSpace):
 		req.w.Header().Set("Connection", "close")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// countUnanswered counts a request whose handler ended without a response, by reason.
+func (c *counters) countUnanswered(reason string) {
+	c.scope.Tagged(map[string]string{"reason": reason}).Counter("unanswered_requests_total").Inc(1)
+}
+
+// countClosedConnection counts a connection of a caller that the daemon closed, by reason.
+func (c *counters) countClosedConnection(reason string) {
+	c.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_connections_closed_total").Inc(1)
+}
+
 // countRefusal counts a request that the daemon itself rejected or refused, by reason.
 func (c *counters) countRefusal(reason string) {
 	c.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals_total").Inc(1)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,7 +27,7 @@
 	g.callers.closeAfterResponse.Store(true)
 	g.forwards.closeAfterResponse.Store(true)
 	g.peers.announceLeaving()
-	g.log.Warn("stopping", "requests", g.callers.inFlight.Load())
+	g.log.Warn("stopping", "requests", g.callers.countRequests())
 	grace := time.Duration(g.stopGrace.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
@@ -38,7 +38,7 @@
 	forwardsEnded := make(chan error, 1)
 	go func() { forwardsEnded <- g.forwards.shutdown(ctx) }()
 	if err := errors.Join(g.callers.shutdown(ctx), <-forwardsEnded); err != nil {
-		g.log.Warn("grace period ended with requests in progress", "requests", g.callers.inFlight.Load(), "error", err)
+		g.log.Warn("grace period ended with requests in progress", "requests", g.callers.countRequests(), "error", err)
 		return
 	}
 	g.log.Warn("stopped")
