--- a/internal/gateway/planned_stop_test.go
+++ b/internal/gateway/planned_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -45,6 +46,9 @@
 	lateHead = "latehead" // the answer begins after slowTime
 )
 
+// longTimeout is the longest of the users' routes.
+const longTimeout = 12 * time.Second
+
 // slowTime is how long a slow request takes.
 const slowTime = 3 * time.Second
 
@@ -101,16 +105,25 @@
 	return endless && r.moment <= mayBeCutUntil
 }
 
+// mustBeServed reports whether the request comes while the platform may not have noticed that
+// the daemon is not ready, and its target is quick.
+func (r *lateRequest) mustBeServed(c lateCase) bool {
+	return r.moment < drainDelay && strings.HasSuffix(r.call.Path, quick) && r.end.unsent == "" && !c.stopsOther
+}
+
+// signalDelay is the time from the last preparation to the signal.
+const signalDelay = time.Second
+
 // moments are when requests come whole, after the signal.
 var moments = []time.Duration{
-	time.Second, 2400 * time.Millisecond, 2600 * time.Millisecond, 4 * time.Second, 6 * time.Second, 7 * time.Second, 7500 * time.Millisecond,
+	-500 * time.Millisecond, time.Second, 2400 * time.Millisecond, 2600 * time.Millisecond, 4 * time.Second, 6 * time.Second, 7 * time.Second, 7500 * time.Millisecond,
 }
 
 // allKinds are the prefixes of all kinds of requests.
 var allKinds = []string{"/reads/", "/bookings/", "/drafts/", "/queries/"}
 
 func TestRequestLateInAPlannedStopIsAnsweredOrRefused(t *testing.T) {
-	const long, short = 12 * time.Second, 3 * time.Second
+	const long, short = longTimeout, 3 * time.Second
 	const objective = 300 * time.Millisecond
 	allElements := []string{quick, slow, never}
 	for _, c := range []lateCase{
@@ -122,8 +135,10 @@
 		{name: "rest of the body", way: afterPartBody, timeout: long, objective: long, kinds: allKinds, elements: allElements},
 		{name: "waits for a retry, kept connection", way: onKeptConn, timeout: long, objective: objective, kinds: allKinds, elements: []string{oneNever}},
 		{name: "waits for a retry, unused connection", way: onUnusedConn, timeout: long, objective: objective, kinds: allKinds, elements: []string{oneNever}},
+		{name: "waits for a retry, rest of the body", way: afterPartBody, timeout: long, objective: objective, kinds: allKinds, elements: []string{oneNever}},
 		{name: "waits for a prompt, kept connection", way: onKeptConn, timeout: long, objective: long, kinds: allKinds[2:], elements: []string{lateHead, quick}, sessionTokens: 100_000},
 		{name: "waits for a prompt, new connection", way: onNewConn, timeout: long, objective: long, kinds: allKinds[2:], elements: []string{lateHead, quick}, sessionTokens: 100_000},
+		{name: "waits for a prompt, rest of the body", way: afterPartBody, timeout: long, objective: long, kinds: allKinds[2:], elements: []string{lateHead, quick}, sessionTokens: 100_000},
 		{name: "stopping daemon forwards, new connection", way: onNewConn, timeout: long, objective: long, kinds: allKinds, elements: allElements, cutOff: true},
 		{name: "stopping daemon forwards, kept connection", way: onKeptConn, timeout: long, objective: long, kinds: allKinds, elements: allElements, cutOff: true},
 		{name: "forwarded to the stopping daemon", way: onKeptConn, timeout: long, objective: long, kinds: allKinds, elements: allElements, cutOff: true, stopsOther: true},
@@ -161,49 +176,63 @@
 		})
 	}
 	prepared.Wait()
-	signalled = time.Now()
-	stopping.stop()
+	signalled = time.Now().Add(signalDelay)
 	close(begin)
+	time.Sleep(signalDelay)
+	stopping.stop()
 	err := <-stopping.stopped
 	stopTime := time.Since(signalled)
 	stopping.stopped <- err
 	must.Less(t, userGrace, stopTime, must.Sprint("the daemon must end by itself"))
 	ended.Wait()
 	time.Sleep(neverRunTime)
-	faults := make(map[string]int)
+	faults, ends := make(map[string]int), make(map[string]int)
 	for _, request := range requests {
+		ends[fmt.Sprint(request.end.status, request.end.unsent)]++
 		runs := countRuns(request.call.ID, targets...)
-		if fault := request.end.fault(request.call, runs, request.mayBeCut(c)); fault != "" {
+		fault := request.end.fault(request.call, runs, request.mayBeCut(c))
+		if fault == "" && request.end.status != http.StatusOK && request.mustBeServed(c) {
+			fault = fmt.Sprint("not served: status ", request.end.status)
+		}
+		if fault != "" {
 			faults[fault]++
 			t.Errorf("%s after the signal: %s: %s, runs %d, ended %s after the signal", request.moment, request.call.Path, fault, runs, request.end.at.Sub(signalled).Round(time.Millisecond))
 		}
 	}
-	t.Logf("%d requests, faults: %v", len(requests), faults)
+	t.Logf("%d requests, faults: %v, ends: %v", len(requests), faults, ends)
 }
 
 // start starts the daemons of a row: the one to which callers send, and the one that stops.
 func (c lateCase) start(t *testing.T) (receiver, stopping *testFixture, targets []*standin.Target) {
-	document := standin.DocumentWithTimes(2, c.timeout, c.objective)
-	if !c.cutOff {
+	daemons, targets := startPaced(t, standin.DocumentWithTimes(2, c.timeout, c.objective), c.cutOff)
+	for _, f := range daemons {
+		f.daemon.stopGrace.Store(int64(userGrace))
+	}
+	if c.stopsOther {
+		return daemons[0], daemons[1], targets
+	}
+	return daemons[0], daemons[0], targets
+}
+
+// startPaced starts a daemon with version 2 of the configuration before targets that serve
+// each path at its pace. If the daemon is to reach no target, there is another one by way of
+// which it forwards.
+func startPaced(t *testing.T, document map[string]any, cutOff bool) (daemons []*testFixture, targets []*standin.Target) {
+	if !cutOff {
 		f, writers, desks := prepareFixture(t, defaultRetryExtra)
 		f.store.Put(platform.KindDocument, platform.DocumentName, document)
 		targets = append(writers[:], desks[:]...)
 		setPaces(targets...)
-		f.grace = userGrace
 		f.start()
-		return f, f, targets
+		return []*testFixture{f}, targets
 	}
 	fleet := newCutOffFleet(t, 2)
 	setPaces(fleet.targets...)
 	fleet.daemons[0].store.Put(platform.KindDocument, platform.DocumentName, document)
 	for _, f := range fleet.daemons {
-		f.daemon.stopGrace.Store(int64(userGrace))
 		f.eventually(func() bool { return f.daemon.config.current().Document.Version == 2 })
 	}
-	if c.stopsOther {
-		return fleet.daemons[0], fleet.daemons[1], fleet.targets
-	}
-	return fleet.daemons[0], fleet.daemons[0], fleet.targets
+	return fleet.daemons, fleet.targets
 }
 
 // requests returns the requests of a row.
--- a/internal/gateway/raw_caller_test.go
+++ b/internal/gateway/raw_caller_test.go
@@ -35,6 +35,7 @@
 	unsent string
 	status int // 0: no answer
 	header http.Header
+	closes bool // the answer says that its connection ends with it
 	body   string
 	err    error // why the answer is not whole by its framing; nil if it is
 	sentAt time.Time
@@ -82,7 +83,7 @@
 	if err != nil {
 		return callerEnd{err: err, at: time.Now()}, nil
 	}
-	return callerEnd{status: response.StatusCode, header: response.Header}, response
+	return callerEnd{status: response.StatusCode, header: response.Header, closes: response.Close}, response
 }
 
 // readBody reads the rest of an answer.
