--- a/internal/gateway/planned_stop_test.go
+++ b/internal/gateway/planned_stop_test.go
@@ -22,6 +22,9 @@
 	// mayBeCutUntil is how long after the signal a request may be sent that the stop may cut,
 	// if its target is still at work in the last sixth of the grace.
 	mayBeCutUntil = 3 * time.Second
+	// noticeTime is how long the platform may go on sending connections: it checks readiness once a
+	// second and acts on two misses.
+	noticeTime = 2 * time.Second
 	// neverRunTime is how long after a refusal the request must not have run.
 	neverRunTime = 500 * time.Millisecond
 )
@@ -108,7 +111,7 @@
 // mustBeServed reports whether the request comes while the platform may not have noticed that
 // the daemon is not ready, and its target is quick.
 func (r *lateRequest) mustBeServed(c lateCase) bool {
-	return r.moment < drainDelay && strings.HasSuffix(r.call.Path, quick) && r.end.unsent == "" && !c.stopsOther
+	return r.moment < noticeTime && strings.HasSuffix(r.call.Path, quick) && r.end.unsent == "" && !c.stopsOther
 }
 
 // signalDelay is the time from the last preparation to the signal.
@@ -300,8 +303,14 @@
 		}
 	}
 	defer func() { _ = l.caller.conn.Close() }()
-	if l.caller.closedByDaemon() {
+	answered, closed := l.caller.look()
+	switch {
+	case closed:
 		return callerEnd{unsent: "closed", sentAt: moment, at: time.Now()}
+	case answered: // a part of the request, which need not be completed
+		end := l.caller.readAnswer(limit)
+		end.sentAt = moment
+		return end
 	}
 	return l.caller.exchange(l.rest, limit)
 }
--- a/internal/gateway/raw_caller_test.go
+++ b/internal/gateway/raw_caller_test.go
@@ -57,13 +57,13 @@
 	return err
 }
 
-// closedByDaemon reports whether the daemon has ended the connection. An answer that came first
-// is left to be read.
-func (c *rawCaller) closedByDaemon() bool {
+// look reports what has come before the caller sends: bytes of an answer, or the end of the
+// connection.
+func (c *rawCaller) look() (answered, closed bool) {
 	const lookTime = time.Millisecond
 	_ = c.conn.SetReadDeadline(time.Now().Add(lookTime))
 	_, err := c.reader.Peek(1)
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return err == nil, err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // readAnswer reads one answer until its end by its framing, or until the limit.
