socket: what a connection has for its reader, apart from the pool of targets

Callers' connections will need the same look into the receive buffer as the pool's, also after a read deadline has passed, where RawConn.Read fails.

--- a/internal/transport/exchange/conn.go
+++ b/internal/transport/exchange/conn.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"hemlockknot/internal/transport/socket"
 )
 
 // userTimeout is how long sent bytes, or a keep-alive probe, may stay unacknowledged before
@@ -85,16 +86,5 @@
 	if now.After(c.reusableUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && silent
+	return socket.UnreadOf(c.Conn) == socket.Nothing
 }
--- /dev/null
+++ b/internal/transport/httpserver/conn.go
@@ -0,0 +1,159 @@
+package httpserver
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"hemlockknot/internal/transport/socket"
+)
+
+// connPhase is what a caller's connection is used for.
+type connPhase int
+
+const (
+	connNew  connPhase = iota // no byte has been read
+	connBusy                  // a request is being read or answered
+	connIdle                  // the last request has been answered, and no byte of the next one has been read
+)
+
+// callerConn is a connection of a caller that closes itself when it has been unused for long
+// enough.
+//
+// Invariant: only the goroutine that reads the connection closes it as unused, and only while
+// the kernel holds no byte of a request. net/http can't do this: it reports that a connection is
+// in use again once it has parsed the next request, which may have been closed by then.
+type callerConn struct {
+	net.Conn
+	server *Server
+
+	mu           sync.Mutex
+	phase        connPhase
+	since        time.Time // when the phase began
+	readDeadline time.Time // that net/http has set
+}
+
+// Read reads from the connection. It fails with a timeout once the connection has been unused
+// for long enough.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.markBusy()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepUnused() {
+			return n, err
+		}
+	}
+}
+
+// SetReadDeadline sets the deadline of reads. While the connection is unused, it may have to
+// end sooner.
+func (c *callerConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = at
+	return c.Conn.SetReadDeadline(c.nextCheck())
+}
+
+// nextCheck returns when the read in progress must end. The caller holds mu.
+func (c *callerConn) nextCheck() time.Time {
+	if c.phase == connBusy {
+		return c.readDeadline
+	}
+	until := c.server.unusedUntil(c.phase, c.since)
+	if until.IsZero() || !c.readDeadline.IsZero() && c.readDeadline.Before(until) {
+		return c.readDeadline
+	}
+	return until
+}
+
+// check makes the connection find out soon whether it has been unused for long enough, after a
+// change of what that is.
+func (c *callerConn) check() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != connBusy {
+		_ = c.Conn.SetReadDeadline(c.nextCheck()) // fails only on a closed connection
+	}
+}
+
+// markBusy records that a byte of a request has been read.
+func (c *callerConn) markBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setBusy()
+}
+
+// setBusy ends that the connection is unused. The caller holds mu.
+func (c *callerConn) setBusy() {
+	if c.phase == connBusy {
+		return
+	}
+	c.phase, c.since = connBusy, time.Now()
+	if c.readDeadline.IsZero() {
+		c.readDeadline = c.since.Add(c.server.options.HeaderTimeout) // until net/http sets its own
+	}
+	_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only on a closed connection
+}
+
+// keepUnused decides what follows a read deadline that has passed without a byte. It reports
+// whether to go on reading.
+func (c *callerConn) keepUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == connBusy {
+		return false // net/http has set the deadline
+	}
+	now := time.Now()
+	if socket.UnreadOf(c.Conn) == socket.Bytes { // a request has come meanwhile
+		c.readDeadline = now.Add(c.server.options.HeaderTimeout)
+		c.setBusy()
+		return true
+	}
+	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) {
+		return false
+	}
+	if until := c.server.unusedUntil(c.phase, c.since); until.IsZero() || now.Before(until) {
+		return c.Conn.SetReadDeadline(c.nextCheck()) == nil
+	}
+	c.server.observer.ConnectionClosed(c.RemoteAddr().String(), now.Sub(c.since), c.phase == connIdle, c.server.currentStage() != notStopping)
+	return false
+}
+
+// setState follows the state that net/http reports.
+func (c *callerConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle: // net/http then sets the read deadline
+		c.phase, c.since = connIdle, time.Now()
+	case http.StateActive:
+		c.phase = connBusy
+	}
+}
+
+// resetOnClose makes Close reset the connection.
+func (c *callerConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+}
+
+// callerListener wraps the connections that it accepts.
+type callerListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
--- /dev/null
+++ b/internal/transport/httpserver/server.go
@@ -0,0 +1,243 @@
+// Package httpserver is an HTTP/1.1 server for callers. net/http reads the requests and writes
+// the responses; this package decides when connections end.
+//
+// Invariant: a request that has been read whole ends with the response of its handler, or with
+// one that says that it may have run, unless the process is killed. In particular:
+//
+//   - A connection is closed as unused only by the goroutine that reads it, while the kernel
+//     holds no byte of a request.
+//   - A connection is kept for the idle timeout on which its caller relies, which the last
+//     response names.
+//   - A planned stop goes on answering requests. http.Server.Shutdown drops those that are read
+//     after its call.
+//   - A handler that panics or ends without a response gets one that is no success. net/http
+//     would close the connection, or send an empty 200.
+package httpserver
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hemlockknot/internal/coordination/keepalive"
+	"hemlockknot/internal/coordination/shutdown"
+)
+
+// Times of a planned stop.
+const (
+	// idleLinger is how long a connection is kept after a response of which the caller could
+	// not see that it is the last one: the next request may be on its way.
+	idleLinger = 250 * time.Millisecond
+	// partialRequestWait is how long callers are awaited that have opened a connection or have
+	// sent a part of a request, after the last complete one has been answered. Such a caller may
+	// be cut off.
+	partialRequestWait = time.Second
+	// quietCheckInterval is how often a stop looks whether all requests have been answered.
+	quietCheckInterval = 10 * time.Millisecond
+)
+
+// Options are the limits of a server.
+type Options struct {
+	IdleTimeout    time.Duration // of a connection, until SetIdleTimeout is called
+	HeaderTimeout  time.Duration // from the first byte of a request's header to its last
+	MaxHeaderBytes int
+	// RequestID returns the id of a request, for the observer.
+	RequestID func(http.Header) string
+}
+
+// Observer is told what callers may ask about. Its methods must not block.
+type Observer interface {
+	// ConnectionClosed reports that an unused connection is closed. Answered says whether it
+	// has had a response, stopping whether it is closed for a planned stop.
+	ConnectionClosed(caller string, unusedFor time.Duration, answered, stopping bool)
+	// HandlerFailed reports a handler that has panicked, or that has ended without a response:
+	// then panicked is nil and stack is empty.
+	HandlerFailed(requestID string, panicked any, stack []byte)
+	// RequestsUnanswered reports the requests whose handlers have not ended by the end of a
+	// planned stop.
+	RequestsUnanswered(requestIDs []string)
+	// ServerError reports an error of net/http.
+	ServerError(text string)
+}
+
+// stopStage is how far a planned stop has got.
+type stopStage int
+
+const (
+	notStopping  stopStage = iota
+	lastResponse           // each response is the last one of its connection
+	draining               // unused connections are closed, too
+	cut                    // unused connections are closed at once
+)
+
+// Server serves callers' requests.
+type Server struct {
+	http     *http.Server
+	options  Options
+	observer Observer
+
+	mu           sync.Mutex
+	idleTimeouts *keepalive.Timeouts
+	stage        stopStage
+	listener     net.Listener // nil before Serve
+	conns        map[*callerConn]struct{}
+	requests     map[*requestInFlight]struct{}
+	stopped      chan struct{} // closed by Stop
+}
+
+// New returns a server. Serve starts it.
+func New(handler http.Handler, options Options, observer Observer) *Server {
+	s := &Server{
+		options: options, observer: observer, idleTimeouts: keepalive.New(options.IdleTimeout),
+		conns: make(map[*callerConn]struct{}), requests: make(map[*requestInFlight]struct{}), stopped: make(chan struct{}),
+	}
+	s.http = &http.Server{
+		Handler:           s.trackRequests(handler),
+		ReadHeaderTimeout: options.HeaderTimeout,
+		MaxHeaderBytes:    options.MaxHeaderBytes,
+		ConnState:         s.trackConnState,
+		ConnContext:       withConn,
+		ErrorLog:          newErrorLog(observer),
+	}
+	return s
+}
+
+// Serve serves the listener until Stop has completed.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	err := s.http.Serve(callerListener{listener, s.wrapConn})
+	if s.currentStage() == notStopping && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	<-s.stopped
+	return nil
+}
+
+// SetIdleTimeout sets the idle timeout of connections. Callers that rely on an earlier one are
+// not cut off.
+func (s *Server) SetIdleTimeout(timeout time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idleTimeouts.Set(timeout, time.Now())
+}
+
+// Requests returns the number of requests in flight.
+func (s *Server) Requests() int {
+	_, requests := s.counts()
+	return requests
+}
+
+// AnnounceStop makes each response the last one of its connection from now on.
+func (s *Server) AnnounceStop() { s.enter(lastResponse) }
+
+// Stop ends the server as planned. It goes on taking connections and requests until all that
+// have come are answered; the handler refuses those that would not end in time. At plan.CutAt
+// it cancels the contexts of the requests that are left, with the cause ErrStopping, so that their
+// handlers answer them. It returns the number of requests that were cancelled.
+func (s *Server) Stop(plan shutdown.Plan) (cancelled int) {
+	defer close(s.stopped)
+	s.enter(draining)
+	s.awaitQuiet(partialRequestWait, plan.CutAt)
+	s.closeListener()
+	s.awaitQuiet(idleLinger, plan.CutAt) // for connections that were accepted just before
+	cancelled = s.cancelRequests()
+	s.enter(cut)
+	s.awaitQuiet(idleLinger, plan.EndAt)
+	s.reportUnanswered()
+	_ = s.http.Close() // the listener is closed already, which it reports
+	return cancelled
+}
+
+func (s *Server) currentStage() stopStage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage
+}
+
+// enter begins a stage of the stop, and has unused connections find out what it means to them.
+func (s *Server) enter(stage stopStage) {
+	s.mu.Lock()
+	s.stage = stage
+	conns := make([]*callerConn, 0, len(s.conns))
+	for conn := range s.conns {
+		conns = append(conns, conn)
+	}
+	s.mu.Unlock()
+	for _, conn := range conns {
+		conn.check()
+	}
+}
+
+// closeListener closes the listener if there is one.
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close() // callers are refused from now on in any case
+	}
+}
+
+// awaitQuiet waits until there is no connection, or no request has been in flight for a time, but
+// not longer than until a moment.
+func (s *Server) awaitQuiet(quiet time.Duration, until time.Time) {
+	lastRequest := time.Now()
+	for now := lastRequest; now.Before(until); now = time.Now() {
+		conns, requests := s.counts()
+		if requests > 0 {
+			lastRequest = now
+		}
+		if conns == 0 || now.Sub(lastRequest) >= quiet {
+			return
+		}
+		time.Sleep(min(quietCheckInterval, until.Sub(now)))
+	}
+}
+
+// counts returns the numbers of open connections and of requests in flight.
+func (s *Server) counts() (conns, requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), len(s.requests)
+}
+
+// wrapConn returns a connection that closes itself when it has been unused for long enough.
+func (s *Server) wrapConn(conn net.Conn) net.Conn {
+	return &callerConn{Conn: conn, server: s, since: time.Now()}
+}
+
+// trackConnState follows the states of connections that net/http reports.
+func (s *Server) trackConnState(conn net.Conn, state http.ConnState) {
+	caller := conn.(*callerConn) // of wrapConn
+	caller.setState(state)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[caller] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, caller)
+	}
+}
+
+// unusedUntil returns until when a connection is kept that has been unused since a time; zero:
+// until net/http gives it up.
+func (s *Server) unusedUntil(phase connPhase, since time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stage == cut:
+		return since
+	case phase == connNew && s.stage == draining:
+		return since.Add(partialRequestWait)
+	case phase == connNew:
+		return time.Time{}
+	case s.stage == draining:
+		return since.Add(idleLinger)
+	}
+	return s.idleTimeouts.KeepUntil(since)
+}
