Callers' connections end only where it is known that no request has been read

Callers saw: beside a configuration that shortens the idle timeout, and from 2.5 s after SIGTERM on, requests that the daemon had read whole met a closed connection, with neither an answer nor a refusal.

Cause: connections were closed apart from reading them.

Change: transport/httpserver. The reader of a connection closes it, while the kernel holds no byte; coordination/keepalive says after which time, answers name it. A stop goes on answering what comes on open connections; coordination/shutdown takes only what ends before the cut. A handler that panics or returns nothing gives 502 instead of a closed connection or the empty 200 of net/http.

--- a/internal/coordination/timing/retry_after.go
+++ b/internal/coordination/timing/retry_after.go
@@ -13,13 +13,14 @@
 	TargetFull        Cause = iota // the target had no free slot; it has one when a few requests end
 	NoTargetReachable              // no target could be reached, which lasts longer than a lack of slots
 	DaemonStarting                 // this daemon has just started; other daemons can serve the request
+	DaemonStopping                 // this daemon is about to end; other daemons can serve the request
 )
 
 // Delays after which a caller may retry.
 const (
 	fullDelay        = 100 * time.Millisecond
 	unreachableDelay = time.Second
-	startingDelay    = 50 * time.Millisecond
+	elsewhereDelay   = 50 * time.Millisecond // other daemons can serve the request at once
 	// The remaining time divided by maxDelayDivisor is the longest delay that callers
 	// honour, by the users' protocol.
 	maxDelayDivisor = 3
@@ -34,8 +35,8 @@
 	switch cause {
 	case NoTargetReachable:
 		delay = unreachableDelay
-	case DaemonStarting:
-		delay = startingDelay
+	case DaemonStarting, DaemonStopping:
+		delay = elsewhereDelay
 	}
 	return spread(delay, remaining)
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -1,171 +1,76 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
+	"hemlockknot/internal/transport/httpserver"
 	"hemlockknot/platform"
 )
 
 // Limits of callers' connections.
 const (
-	headerTimeout     = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-	idleSweepInterval = time.Second
-	// idleSlack is added to the configured idle timeout: the daemon must not close a
-	// connection that the caller may still reuse under that timeout.
-	idleSlack = time.Second
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	// defaultIdleTimeout applies until there is a configuration, and if it sets no idle
+	// timeout.
+	defaultIdleTimeout = 15 * time.Second
 )
 
-// callerServer serves callers' requests. It closes connections that have been idle
-// for longer than the current configuration allows.
-type callerServer struct {
-	server      *http.Server
-	idleTimeout func() time.Duration
-	// closeAfterResponse makes the server close each connection after its next
-	// response.
-	closeAfterResponse atomic.Bool
-	log                logger
-	metrics            *counters
-
-	mu       sync.Mutex
-	idle     map[*callerConn]struct{} // connections that net/http reports as idle
-	requests map[*requestInFlight]struct{}
-	done     chan struct{} // closed by shutdown
+// newServer returns a server for requests of callers or of other daemons.
+func (g *Gateway) newServer(handler http.HandlerFunc) *httpserver.Server {
+	return httpserver.New(handler, httpserver.Options{
+		IdleTimeout:    defaultIdleTimeout,
+		HeaderTimeout:  headerTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		RequestID:      platform.RequestID,
+	}, serverObserver{g.log, g.metrics})
 }
 
-func newCallerServer(handler http.Handler, idleTimeout func() time.Duration, log logger, metrics *counters) *callerServer {
-	s := &callerServer{
-		idleTimeout: idleTimeout, log: log, metrics: metrics,
-		idle: make(map[*callerConn]struct{}), requests: make(map[*requestInFlight]struct{}), done: make(chan struct{}),
-	}
-	s.server = &http.Server{
-		Handler:           s.trackRequests(handler),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         s.trackConnState,
-		ErrorLog:          newServerErrorLog(log),
+// idleTimeout returns how long the configuration lets a caller's connection be idle.
+func (g *Gateway) idleTimeout() time.Duration {
+	table := g.config.current()
+	if table == nil || table.Document.Limits.IdleTimeout <= 0 {
+		return defaultIdleTimeout
 	}
-	return s
+	return table.Document.Limits.IdleTimeout
 }
 
-// trackRequests keeps the requests in flight and announces the end of the connection in the
-// response while closeAfterResponse is set.
-func (s *callerServer) trackRequests(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancelCause(r.Context())
-		defer cancel(nil)
-		request := &requestInFlight{id: platform.RequestID(r.Header), cancel: cancel}
-		s.begin(request)
-		defer s.end(request)
-		response := &trackedResponse{ResponseWriter: w}
-		defer s.checkEnd(request, response)
-		if s.closeAfterResponse.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(response, r.WithContext(ctx))
-	})
+// serverObserver logs and counts what a server reports.
+type serverObserver struct {
+	log     logger
+	metrics *counters
 }
 
-// serve serves the listener until shutdown has completed.
-func (s *callerServer) serve(listener net.Listener) error {
-	go s.sweepIdle()
-	if err := s.server.Serve(callerListener{listener}); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers: %w", err)
+func (o serverObserver) ConnectionClosed(caller string, unusedFor time.Duration, answered, stopping bool) {
+	reason := "idle"
+	if stopping {
+		reason = "stopping"
 	}
-	<-s.done
-	return nil
+	o.metrics.countClosedConnection(reason)
+	o.log.Info("unused connection of a caller closed", "caller", caller, "reason", reason, "answered_before", answered, "unused_ms", unusedFor.Milliseconds())
 }
 
-// trackConnState records which connections are idle.
-func (s *callerServer) trackConnState(conn net.Conn, state http.ConnState) {
-	caller := conn.(*callerConn) // of callerListener
-	caller.setState(state)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idle[caller] = struct{}{}
+func (o serverObserver) HandlerFailed(requestID string, panicked any, stack []byte) {
+	if panicked == nil {
+		o.metrics.countUnanswered("no_response")
+		o.log.Warn("handler of a request ended without a response", "request", requestID)
 		return
 	}
-	delete(s.idle, caller)
-}
-
-// sweepIdle closes connections that exceed the idle timeout, until shutdown.
-func (s *callerServer) sweepIdle() {
-	ticker := time.NewTicker(idleSweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.done:
-			return
-		case now := <-ticker.C:
-			s.closeIdleSince(now.Add(-s.idleTimeout() - idleSlack))
-		}
-	}
+	o.metrics.countUnanswered("panic")
+	o.log.Warn("handler of a request panicked", "request", requestID, "panic", panicked, "stack", string(stack))
 }
 
-// closeIdleSince closes the connections that became idle before the threshold.
-func (s *callerServer) closeIdleSince(threshold time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.idle {
-		if conn.closeIfIdleSince(threshold) {
-			delete(s.idle, conn)
-			s.metrics.countClosedConnection("idle")
-			s.log.Info("idle connection of a caller closed", "caller", conn.RemoteAddr().String(),
-				"idle_ms", time.Since(time.Unix(0, conn.idleSince.Load())).Milliseconds(), "limit_ms", s.idleTimeout().Milliseconds())
-		}
-	}
-}
+// maxLoggedUnanswered is the number of requests without an answer that are logged by id.
+const maxLoggedUnanswered = 20
 
-// shutdown closes the listener and the idle connections and waits for the requests
-// in flight. If the context ends first, or once no request has been in flight for
-// partialRequestWait, shutdown closes the remaining connections too.
-func (s *callerServer) shutdown(ctx context.Context) error {
-	defer close(s.done)
-	for {
-		waitCtx, cancel := context.WithCancelCause(ctx)
-		go s.watchInFlight(waitCtx, cancel)
-		err := s.server.Shutdown(waitCtx)
-		cancel(nil)
-		onlyPartial := errors.Is(context.Cause(waitCtx), errOnlyPartialRequests)
-		switch {
-		case err == nil:
-			return nil
-		case !onlyPartial:
-			s.cancelRequests(errGraceEnded)
-			return errors.Join(err, s.server.Close())
-		case s.countRequests() == 0: // else one of them has been completed meanwhile
-			return s.server.Close()
-		}
+func (o serverObserver) RequestsUnanswered(requestIDs []string) {
+	for range requestIDs {
+		o.metrics.countUnanswered("stopped")
 	}
+	o.log.Warn("requests are left without an answer", "number", len(requestIDs), "requests", requestIDs[:min(len(requestIDs), maxLoggedUnanswered)])
 }
 
-// partialRequestWait is how long a stop waits for callers that have sent a part of a
-// request, after the last complete one has been answered. Such a caller may be cut off.
-const partialRequestWait = time.Second
-
-var errOnlyPartialRequests = errors.New("no request is in flight")
-
-// watchInFlight cancels the context once no request has been in flight for
-// partialRequestWait.
-func (s *callerServer) watchInFlight(ctx context.Context, cancel context.CancelCauseFunc) {
-	const checkInterval = 50 * time.Millisecond
-	lastInFlight := time.Now()
-	for ctx.Err() == nil {
-		if s.countRequests() > 0 {
-			lastInFlight = time.Now()
-		}
-		if time.Since(lastInFlight) >= partialRequestWait {
-			cancel(errOnlyPartialRequests)
-			return
-		}
-		sleep(ctx, checkInterval)
-	}
+func (o serverObserver) ServerError(text string) {
+	o.log.Warn("error of the HTTP server", "error", text)
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -102,6 +102,7 @@
 	if g.config.replaceIfNewer(routing.NewTable(document), spec) {
 		g.log.Warn("configuration in force", "version", document.Version, "source", source,
 			"routes", len(document.Routes), "workspaces", len(document.Workspaces))
+		g.callers.SetIdleTimeout(g.idleTimeout())
 		g.peers.startRoundSoon()
 	}
 }
--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -63,7 +63,7 @@
 	if description.Workspace != "" {
 		req.workspace = &routing.Workspace{Name: description.Workspace}
 	}
-	if g.stopping.Load() || g.forwards.countRequests() > maxForwardedRequests {
+	if g.stopping() || g.forwards.Requests() > maxForwardedRequests {
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "peer_busy"}, forward.Unreached, 0)
 		return
 	}
@@ -101,7 +101,7 @@
 		outcome = g.attemptOnce(req)
 	}
 	if req.r.Context().Err() != nil {
-		g.recordResult(req, cancelledResult(req))
+		g.recordResult(req, "caller_left")
 		return
 	}
 	g.respondForwarded(req, outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,8 +18,10 @@
 	"hemlockknot/internal/coordination/brittle"
 	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/coordination/ratelimit"
+	"hemlockknot/internal/coordination/shutdown"
 	"hemlockknot/internal/protocol/peerpb"
 	"hemlockknot/internal/transport/exchange"
+	"hemlockknot/internal/transport/httpserver"
 	"hemlockknot/internal/transport/mesh"
 	"hemlockknot/platform"
 )
@@ -46,15 +48,15 @@
 	peers             *peers
 	crashChecks       *crashChecks
 	streamRecord      *streamRecord
-	callers           *callerServer
+	callers           *httpserver.Server
 	callerListener    net.Listener // for callers' requests
 	readinessListener net.Listener // for the platform's readiness checks
 	peerListener      net.Listener // for other daemons; nil if the settings name no address
 	forwardListener   net.Listener // for requests that other daemons pass on; nil if it takes none
-	forwards          *callerServer
-	peerPool          *exchange.Pool // connections to other daemons' forwardListeners
-	stopping          atomic.Bool
-	stopGrace         atomic.Int64 // time limit of a planned stop, in nanoseconds
+	forwards          *httpserver.Server
+	peerPool          *exchange.Pool                // connections to other daemons' forwardListeners
+	stopPlan          atomic.Pointer[shutdown.Plan] // nil until a planned stop begins
+	stopGrace         atomic.Int64                  // time limit of a planned stop, in nanoseconds
 }
 
 // New creates the daemon and opens its listeners; Run serves them.
@@ -109,8 +111,8 @@
 	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.streamRecord = newStreamRecord(g)
 	g.targets = newTargetList(g)
-	g.callers = newCallerServer(http.HandlerFunc(g.handleRequest), g.idleTimeout, log, g.metrics)
-	g.forwards = newCallerServer(http.HandlerFunc(g.handleForwarded), func() time.Duration { return defaultIdleTimeout }, log, g.metrics)
+	g.callers = g.newServer(g.handleRequest)
+	g.forwards = g.newServer(g.handleForwarded)
 	return g, nil
 }
 
@@ -156,14 +158,14 @@
 	group.Go(func() error { g.targets.watch.run(background); return nil })
 	group.Go(func() error { g.streamRecord.run(background); return nil })
 	group.Go(func() error { return serveHTTP(background, g.readyHandler(), g.readinessListener) })
-	group.Go(func() error { return g.callers.serve(g.callerListener) })
+	group.Go(func() error { return g.callers.Serve(g.callerListener) })
 	if g.peerListener != nil {
 		group.Go(func() error { return mesh.Serve(background, g.peerListener, g.peers) })
 		group.Go(func() error { g.peers.run(background); return nil })
 		group.Go(func() error { g.peers.runOriginCopies(background); return nil })
 	}
 	if g.forwardListener != nil {
-		group.Go(func() error { return g.forwards.serve(g.forwardListener) })
+		group.Go(func() error { return g.forwards.Serve(g.forwardListener) })
 	}
 	if metricsAddress != "" {
 		g.serveMetrics(background, group, metricsAddress)
@@ -185,7 +187,7 @@
 }
 
 // exitWait is how long after a stop the daemon waits for its background work to end. It
-// is less than stopMargin: a call to a peer that is cut off must not hold up the exit
+// is less than what a shutdown.Plan leaves for it: a call to a peer that is cut off must not hold up the exit
 // until the platform kills the process.
 const exitWait = 200 * time.Millisecond
 
@@ -255,17 +257,5 @@
 // ready reports whether the daemon has a configuration and a list of targets and
 // is not stopping.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.config.current() != nil && g.coordinator.hasLoadedTargets()
-}
-
-// defaultIdleTimeout applies when the configuration sets no idle timeout.
-const defaultIdleTimeout = 15 * time.Second
-
-// idleTimeout returns how long a caller's connection may be idle.
-func (g *Gateway) idleTimeout() time.Duration {
-	table := g.config.current()
-	if table == nil || table.Document.Limits.IdleTimeout <= 0 {
-		return defaultIdleTimeout
-	}
-	return table.Document.Limits.IdleTimeout
+	return !g.stopping() && g.config.current() != nil && g.coordinator.hasLoadedTargets()
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"hash/maphash"
 	"io"
@@ -13,6 +14,7 @@
 	"hemlockknot/internal/protocol/forward"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/routing"
+	"hemlockknot/internal/transport/httpserver"
 	"hemlockknot/platform"
 )
 
@@ -46,6 +48,26 @@
 	// forwarded is the decision of the daemon that has passed the request on; nil if the
 	// caller sent it here.
 	forwarded *forward.Request
+	// unwritable is true once the caller could not be written to.
+	unwritable bool
+}
+
+// Reasons of a request that is ended before its last attempt has been.
+const (
+	reasonCallerLeft = "caller_left"
+	reasonStopping   = "stopping"
+)
+
+// ended reports whether the request must not go on, as its caller has left or the daemon stops.
+func (req *callerRequest) ended() bool { return req.unwritable || req.r.Context().Err() != nil }
+
+// endReason returns why the request has ended. A caller that has only closed its sending half
+// counts as one that has left: the two look alike.
+func (req *callerRequest) endReason() string {
+	if errors.Is(context.Cause(req.r.Context()), httpserver.ErrStopping) {
+		return reasonStopping
+	}
+	return reasonCallerLeft
 }
 
 // handleRequest handles one request of a caller.
@@ -65,6 +87,10 @@
 	if !g.admit(req, table) || !g.readBody(req, table) {
 		return
 	}
+	if !g.takes(req) {
+		g.refuse(req, reasonStopping, timing.RetryAfter(timing.DaemonStopping, time.Until(req.deadline)))
+		return
+	}
 	req.digest = requestDigest(req)
 	g.coordinator.waitForTargets(r.Context(), startupWait)
 	g.coordinator.countRequest(req.service)
@@ -132,6 +158,8 @@
 	// its deadline.
 	controller := http.NewResponseController(req.w)
 	_ = controller.SetReadDeadline(req.deadline) // fails only if the connection is closed
+	// A body of which nothing comes must not hold the request beyond a stop either.
+	defer context.AfterFunc(req.r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })()
 	body, err := req.buffers.readAll(http.MaxBytesReader(req.w, req.r.Body, limit), int(limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -145,6 +173,8 @@
 	case errors.Is(err, errNoBufferSpace):
 		req.w.Header().Set("Connection", "close")
 		g.refuse(req, "no_buffer_space", timing.RetryAfter(timing.TargetFull, time.Until(req.deadline)))
+	case req.ended() && req.endReason() == reasonStopping:
+		g.refuse(req, reasonStopping, timing.RetryAfter(timing.DaemonStopping, time.Until(req.deadline)))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		req.w.Header().Set("Connection", "close")
 		g.reject(req, http.StatusRequestTimeout, "slow_body", "not run: the body did not arrive in time")
--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"hemlockknot/internal/coordination/shutdown"
 	"hemlockknot/internal/state/objects"
 	"hemlockknot/platform"
 	"hemlockknot/platform/standin"
@@ -117,7 +118,7 @@
 
 func TestPlannedStopFinishesRequests(t *testing.T) {
 	f, writers, _ := newFixture(t)
-	f.daemon.settings.StopGrace = 4 * time.Second
+	f.daemon.stopGrace.Store(int64(4 * time.Second))
 	releaseFirst := writers[0].PauseStreams()
 	releaseSecond := writers[1].PauseStreams()
 	type result struct {
@@ -157,10 +158,11 @@
 	_, err = io.WriteString(conn, "GET /reads/1 HTTP/1.1\r\nHost: ")
 	must.NoError(t, err)
 	started := time.Now()
+	drainDelay := shutdown.New(started, 8*time.Second).DrainAt.Sub(started)
 	f.stop()
 	must.NoError(t, <-f.stopped)
 	f.stopped <- nil
-	must.Less(t, drainDelay+2*partialRequestWait, time.Since(started))
+	must.Less(t, drainDelay+2*time.Second, time.Since(started))
 }
 
 func TestRestartedDaemonGetsItsStateFromTheStore(t *testing.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -100,7 +100,7 @@
 	for {
 		outcome := g.attemptOnce(req)
 		if req.r.Context().Err() != nil {
-			g.recordResult(req, cancelledResult(req))
+			g.recordResult(req, "caller_left")
 			return
 		}
 		action := req.state.Decide(outcome, time.Until(req.deadline), func() bool { return req.retryReserved.Swap(false) || g.coordinator.spendRetry(req.service) })
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -102,14 +102,6 @@
 	return timing.NoTargetReachable
 }
 
-// cancelledResult returns the result of a request whose context has ended.
-func cancelledResult(req *relayedRequest) string {
-	if errors.Is(context.Cause(req.r.Context()), errGraceEnded) {
-		return "grace_ended"
-	}
-	return "caller_left"
-}
-
 // recordResult logs and counts a request that has ended.
 func (g *Gateway) recordResult(req *relayedRequest, result string) {
 	var firstByte time.Duration
--- a/internal/transport/httpserver/conn_test.go
+++ b/internal/transport/httpserver/conn_test.go
@@ -108,7 +108,9 @@
 				server.mu.Lock()
 				server.idleTimeouts = keepalive.New(-time.Hour)
 				server.mu.Unlock()
-				server.enter(notStopping)
+				for _, conn := range server.openConns() {
+					conn.check()
+				}
 			})
 			hooked.Listener = listener
 			served := make(chan error, 1)
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -8,8 +8,8 @@
 //     holds no byte of a request.
 //   - A connection is kept for the idle timeout on which its caller relies, which the last
 //     response names.
-//   - A planned stop goes on answering requests. http.Server.Shutdown drops those that are read
-//     after its call.
+//   - A planned stop goes on answering the requests that come on connections that are open.
+//     http.Server.Shutdown drops those that are read after its call.
 //   - A handler that panics or ends without a response gets one that is no success. net/http
 //     would close the connection, or send an empty 200.
 package httpserver
@@ -17,8 +17,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,7 +72,7 @@
 	notStopping  stopStage = iota
 	lastResponse           // each response is the last one of its connection
 	draining               // unused connections are closed, too
-	cut                    // unused connections are closed at once
+	cut                    // the same, without delay
 )
 
 // Server serves callers' requests.
@@ -128,23 +130,23 @@
 
 // Requests returns the number of requests in flight.
 func (s *Server) Requests() int {
-	_, requests := s.counts()
-	return requests
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
 }
 
 // AnnounceStop makes each response the last one of its connection from now on.
 func (s *Server) AnnounceStop() { s.enter(lastResponse) }
 
-// Stop ends the server as planned. It goes on taking connections and requests until all that
-// have come are answered; the handler refuses those that would not end in time. At plan.CutAt
-// it cancels the contexts of the requests that are left, with the cause ErrStopping, so that their
-// handlers answer them. It returns the number of requests that were cancelled.
+// Stop ends the server as planned. It takes no connections any more, and goes on taking requests
+// until all that have come are answered; the handler refuses those that would not end in time. At
+// plan.CutAt it cancels the contexts of the requests that are left, with the cause ErrStopping, so
+// that their handlers answer them. It returns the number of requests that were cancelled.
 func (s *Server) Stop(plan shutdown.Plan) (cancelled int) {
 	defer close(s.stopped)
 	s.enter(draining)
-	s.awaitQuiet(partialRequestWait, plan.CutAt)
 	s.closeListener()
-	s.awaitQuiet(idleLinger, plan.CutAt) // for connections that were accepted just before
+	s.awaitQuiet(partialRequestWait, plan.CutAt)
 	cancelled = s.cancelRequests()
 	s.enter(cut)
 	s.awaitQuiet(idleLinger, plan.EndAt)
@@ -163,12 +165,8 @@
 func (s *Server) enter(stage stopStage) {
 	s.mu.Lock()
 	s.stage = stage
-	conns := make([]*callerConn, 0, len(s.conns))
-	for conn := range s.conns {
-		conns = append(conns, conn)
-	}
 	s.mu.Unlock()
-	for _, conn := range conns {
+	for _, conn := range s.openConns() {
 		conn.check()
 	}
 }
@@ -187,22 +185,21 @@
 func (s *Server) awaitQuiet(quiet time.Duration, until time.Time) {
 	lastRequest := time.Now()
 	for now := lastRequest; now.Before(until); now = time.Now() {
-		conns, requests := s.counts()
-		if requests > 0 {
+		if s.Requests() > 0 {
 			lastRequest = now
 		}
-		if conns == 0 || now.Sub(lastRequest) >= quiet {
+		if len(s.openConns()) == 0 || now.Sub(lastRequest) >= quiet {
 			return
 		}
 		time.Sleep(min(quietCheckInterval, until.Sub(now)))
 	}
 }
 
-// counts returns the numbers of open connections and of requests in flight.
-func (s *Server) counts() (conns, requests int) {
+// openConns returns the open connections.
+func (s *Server) openConns() []*callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns), len(s.requests)
+	return slices.Collect(maps.Keys(s.conns))
 }
 
 // wrapConn returns a connection that closes itself when it has been unused for long enough.
