A request that ends early gets a true refusal, its stream does not look whole

Callers saw: one that closes its sending half while its request runs read an empty 200 without a stamp, or a short stream that ends as whole; at the end of a planned stop requests were closed without an answer, among them ones that may not be repeated.

Cause: the context of a request ends when the caller leaves, closes its sending half, or the daemon cuts it. All three were taken for a caller that is gone: the handler returned, and net/http completed the response.

Change: whatever ends a request, attempt.Request.End says what is known of it: not run (503), may have run (502), or a stream that is aborted. Nothing is sent to a target once the context has ended.

--- a/internal/coordination/attempt/attempt.go
+++ b/internal/coordination/attempt/attempt.go
@@ -100,6 +100,21 @@
 	return r.finalAction(outcome)
 }
 
+// End returns what to do after an attempt if there must be no further one, whatever its outcome:
+// the caller has left, or the daemon stops.
+func (r *Request) End(outcome Outcome) Action {
+	switch outcome {
+	case Answered:
+		return Deliver
+	case Refused:
+		r.sentAttempts++
+	case TargetError, NoAnswer, Interrupted:
+		r.sentAttempts++
+		r.mayHaveRun = true
+	}
+	return r.finalAction(outcome)
+}
+
 // RetryAllowed reports whether the request may be sent to another target if the
 // current one does not answer.
 func (r *Request) RetryAllowed() bool {
--- a/internal/coordination/attempt/attempt_test.go
+++ b/internal/coordination/attempt/attempt_test.go
@@ -66,3 +66,39 @@
 		})
 	}
 }
+
+// A request that must not go on ends with what is known of it: a caller that is told "not run"
+// may send it again.
+func TestEnd(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before        []Outcome // of earlier attempts, which were retried
+		answerStarted bool
+		last          Outcome
+		action        Action
+	}{
+		{name: "while it waits for a target", last: NotSent, action: ReplyNotRun},
+		{name: "refused by its target", last: Refused, action: ReplyNotRun},
+		{name: "held back", last: HeldBack, action: ReplyNotRun},
+		{name: "sent", last: NoAnswer, action: ReplyUnknown},
+		{name: "sent before, and waits for a target", before: []Outcome{NoAnswer}, last: NotSent, action: ReplyUnknown},
+		{name: "sent before, and refused", before: []Outcome{NoAnswer}, last: Refused, action: ReplyUnknown},
+		{name: "out of time", last: DeadlineExceeded, action: ReplyNotRun},
+		{name: "sent, and out of time", before: []Outcome{NoAnswer}, last: DeadlineExceeded, action: ReplyTimeout},
+		{name: "failed at its target", last: TargetError, action: Deliver},
+		{name: "answered", last: Answered, action: Deliver},
+		{name: "in the middle of its stream", answerStarted: true, last: Interrupted, action: Abort},
+		{name: "before its stream goes on", before: []Outcome{Interrupted}, answerStarted: true, last: NotSent, action: Abort},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			request := New(resumable)
+			for _, outcome := range c.before {
+				request.Decide(outcome, time.Second, func() bool { return true })
+			}
+			if c.answerStarted {
+				request.RecordAnswerStarted()
+			}
+			must.Eq(t, c.action, request.End(c.last))
+		})
+	}
+}
--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -100,9 +100,8 @@
 	for outcome == attempt.NotSent && req.state.Decide(outcome, time.Until(req.deadline), func() bool { return false }) == attempt.Retry {
 		outcome = g.attemptOnce(req)
 	}
-	if req.r.Context().Err() != nil {
-		g.recordResult(req, "caller_left")
-		return
+	if req.ended() {
+		req.reason = req.endReason()
 	}
 	g.respondForwarded(req, outcome)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -99,8 +99,8 @@
 	}
 	for {
 		outcome := g.attemptOnce(req)
-		if req.r.Context().Err() != nil {
-			g.recordResult(req, "caller_left")
+		if req.ended() {
+			g.respondEnded(req, outcome)
 			return
 		}
 		action := req.state.Decide(outcome, time.Until(req.deadline), func() bool { return req.retryReserved.Swap(false) || g.coordinator.spendRetry(req.service) })
@@ -128,6 +128,9 @@
 	if outOfTime(req) {
 		return attempt.DeadlineExceeded
 	}
+	if req.ended() {
+		return attempt.NotSent
+	}
 	req.via = ""
 	if g.mustForward(req) {
 		if outcome, made := g.forwardAttempt(req); made {
@@ -142,6 +145,8 @@
 	switch {
 	case choice.Target != nil:
 		return g.sendToTarget(req, choice)
+	case req.ended():
+		return attempt.NotSent
 	case req.hold != nil:
 		req.reason = "part_held_back"
 		if req.hold.IsRequest {
@@ -172,7 +177,7 @@
 	}
 	g.awaitPromptRead(req.r.Context(), req, promptRead)
 	g.metrics.countPromptWait()
-	if time.Until(req.deadline) <= 0 {
+	if time.Until(req.deadline) <= 0 || req.ended() {
 		return placement.Choice{}
 	}
 	choice, _ = g.coordinator.chooseTarget(req, false)
@@ -375,7 +380,7 @@
 // handleAttemptError records an attempt that has brought no response and classifies it by
 // whether the request was sent.
 func (g *Gateway) handleAttemptError(req *relayedRequest, exchangeErr *exchange.Error) attempt.Outcome {
-	callerLeft := req.r.Context().Err() != nil
+	callerLeft := req.ended()
 	switch {
 	case errors.Is(exchangeErr, exchange.ErrExpired):
 		req.reason = "paused" // says nothing about the target
@@ -419,10 +424,10 @@
 	body, err := req.buffers.readAll(response, maxResponseBytes)
 	if err != nil {
 		req.reason = "incomplete_answer"
-		if !errors.Is(err, errNoBufferSpace) && req.r.Context().Err() == nil {
+		if !errors.Is(err, errNoBufferSpace) && !req.ended() {
 			g.checkForCrash(req, progressOf(len(body) > 0), isTimeout(err))
 		}
-		g.recordOutcome(req, outlier.ConnectionLost, req.r.Context().Err() == nil && !errors.Is(err, errNoBufferSpace))
+		g.recordOutcome(req, outlier.ConnectionLost, !req.ended() && !errors.Is(err, errNoBufferSpace))
 		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", err, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
 		return attempt.NoAnswer
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -48,7 +46,7 @@
 		g.recordResult(req, "aborted")
 		panic(http.ErrAbortHandler) // closes the connection before the end of the response
 	case action == attempt.Deliver && outcome == attempt.Answered:
-	case req.failedResponse != nil && !errors.Is(req.r.Context().Err(), context.Canceled):
+	case req.failedResponse != nil:
 		result = "failure_delivered"
 		g.deliver(req, req.failedResponse)
 	case action == attempt.ReplyNotRun:
@@ -64,12 +62,27 @@
 	g.recordResult(req, result)
 }
 
+// respondEnded sends the final response to a request that must not go on after an attempt. A
+// caller that has only closed its sending half reads it, and must not take what it reads for a
+// whole answer.
+func (g *Gateway) respondEnded(req *relayedRequest, outcome attempt.Outcome) {
+	action := req.state.End(outcome)
+	if action != attempt.Deliver {
+		req.reason = req.endReason()
+		req.w.Header().Set("Connection", "close")
+	}
+	g.respondFinal(req, action, outcome)
+}
+
 // retryAfter returns when the caller of a request that has not run should retry. If it
 // or a part of its prompt is held back, that is not before the next trial. If all
 // targets of the service want no requests for a time, that is not before the first of
 // them takes requests again.
 func (g *Gateway) retryAfter(req *relayedRequest, outcome attempt.Outcome) time.Duration {
 	remaining := time.Until(req.deadline)
+	if req.reason == reasonStopping {
+		return timing.RetryAfter(timing.DaemonStopping, remaining)
+	}
 	if req.forwardRetryAfter > 0 {
 		return req.forwardRetryAfter
 	}
@@ -108,6 +121,9 @@
 	if !req.firstByteAt.IsZero() {
 		firstByte = req.firstByteAt.Sub(req.arrived)
 	}
+	if req.ended() && req.endReason() == reasonCallerLeft && result != "delivered" {
+		result = reasonCallerLeft
+	}
 	g.metrics.countRequest(result, firstByte)
 	fields := []any{
 		"request", req.call.ID, "result", result, "route", req.route.Name, "service", req.service, "version", req.version,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,8 +52,9 @@
 			g.recordOrigin(req)
 		}
 		if !g.forwardEvent(req, response, event, reader.Buffered()) {
+			req.unwritable = true
 			g.recordOutcome(req, outlier.Served, false)
-			return attempt.Answered
+			return attempt.Interrupted
 		}
 	}
 }
@@ -103,7 +104,7 @@
 // handleStreamError records a stream that failed before its end. Begun reports whether
 // this attempt has brought an event.
 func (g *Gateway) handleStreamError(req *relayedRequest, begun bool, err error) attempt.Outcome {
-	callerLeft := req.r.Context().Err() != nil
+	callerLeft := req.ended()
 	req.reason = "stream_broken"
 	if !callerLeft {
 		g.checkForCrash(req, progressOf(begun), isTimeout(err))
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -131,6 +131,9 @@
 	if time.Now().After(request.NotAfter) {
 		return nil, &Error{Step: "send to", Address: request.Address, Err: ErrExpired}
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Step: "send to", Address: request.Address, Err: err}
+	}
 	c.setDeadline(time.Now().Add(request.AnswerTimeout))
 	writeResult, err := c.startWrite(outgoing, len(request.Body))
 	if err != nil {
