--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -136,8 +136,8 @@
 	l.copy(conn, target, address)
 }
 
-// copy copies bytes while the link carries them.
-func (l *targetLink) copy(to io.Writer, from io.Reader, address string) {
+// copy copies bytes while the link carries them, and a reset after them.
+func (l *targetLink) copy(to, from net.Conn, address string) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -148,7 +148,11 @@
 			}
 			<-changed
 		}
-		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+		_, writeErr := to.Write(buffer[:n])
+		if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+			_ = tcp.SetLinger(0)
+		}
+		if err != nil || writeErr != nil {
 			return
 		}
 	}
