An unframed success of which nothing came after the head is no answer

Cause: an answer with neither length nor chunks ends with its connection, so an orderly end right after the head reads as an empty body. Nothing in its bytes tells it from one that stopped there. Answer.Read now returns io.ErrUnexpectedEOF: what may be repeated is sent to another target, the rest is answered 502, may have run. Errors keep their empty bodies: their status is the answer.

--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -96,6 +96,7 @@
 	writeResult   <-chan error  // nil if the request was written before the answer was read
 	stopInterrupt func() bool   // unlinks the exchange from the context; false if the context has ended
 	idleTimeout   time.Duration // how long the connection may stay in the pool
+	begun         bool          // a byte of the body has been read
 	atEOF         bool          // the whole body has been read
 }
 
@@ -235,12 +236,18 @@
 }
 
 // Read reads the body. If the body is truncated, Read returns an error other than
-// io.EOF.
+// io.EOF. So it does if a success that ends with its connection has no body at all: nothing
+// tells it from an answer whose target stopped after the head.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		a.atEOF = true
+	a.begun = a.begun || n > 0
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if !a.begun && !a.Framed && a.Status < http.StatusMultipleChoices {
+		return 0, io.ErrUnexpectedEOF
+	}
+	a.atEOF = true
 	return n, err
 }
 
