--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -116,6 +116,7 @@
 	for address == "" { // dial sets it right after it has connected
 		l.mu.Lock()
 		address = l.addresses[conn.RemoteAddr().String()]
+		delete(l.addresses, conn.RemoteAddr().String()) // the port may be used again
 		l.mu.Unlock()
 		time.Sleep(time.Millisecond / 10)
 	}
