A success without the target's signature is no answer of the target

Cause: the signature of an answer was read only to tell a target's 421 from another's. What may be repeated is now sent to another target, the rest is answered 502, may have run. The daemon that forwards a request checks it again.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -139,11 +139,7 @@
 	default:
 		return attempt.NoAnswer, true
 	}
-	if isEventStream(response) {
-		silence.stop()
-		return g.relayStream(req, response), true
-	}
-	return g.relayBuffered(req, response), true
+	return g.relayAnswer(req, response, platform.ParseResponseHeader(response.Header), silence), true
 }
 
 // buildForward returns the request to another daemon.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -224,7 +224,19 @@
 		g.recordOutcome(req, outlier.Busy, true)
 		return attempt.Refused
 	}
-	if isEventStream(response) {
+	return g.relayAnswer(req, response, info, silence)
+}
+
+// relayAnswer passes a target's answer on to the caller. A success without the target's
+// signature is not the target's.
+func (g *Gateway) relayAnswer(req *relayedRequest, response *exchange.Answer, info relay.Answer, silence *silenceTimer) attempt.Outcome {
+	switch {
+	case response.Status < http.StatusMultipleChoices && !info.Signed:
+		req.reason = "unsigned_answer"
+		g.recordOutcome(req, outlier.ServerError, true)
+		g.log.Info("attempt failed", "request", req.call.ID, "target", req.targetID(), "reason", req.reason, "status", response.Status)
+		return attempt.NoAnswer
+	case isEventStream(response):
 		silence.stop()
 		return g.relayStream(req, response)
 	}
