Bytes that are no event break a stream off

What callers saw: another answer, its head alone, a line of text or an error without an id in the middle of a stream, which then went on or ended as whole: 270 of 1,030 answers after a broken stream, 10 of 40 after a stream that moved to another daemon. Chunks of HTTP/1.0 reached callers of streams as well (4 of 60 heads).

Cause: events.Reader took any lines up to a blank one for an event; only an id that is no number was an error.

So a block of lines is an event only if it has exactly one positive id, and each of its lines is a comment or a field with a lowercase name. Comments and blank lines may stand between events, as in any stream of server-sent events, and are passed on unchanged. Anything else ends the attempt: nothing of that block reaches the caller, and the stream is resumed or aborted.

TestSoundStreamIsRelayedUnchanged passes before and after.

--- a/internal/protocol/events/events.go
+++ b/internal/protocol/events/events.go
@@ -1,5 +1,11 @@
 // Package events splits a stream of server-sent events into single events. It leaves the
 // bytes of the events unchanged.
+//
+// A stream is a series of events with ids. Blank lines and comments may stand between them;
+// any other bytes are none of the stream's: a target in trouble may send another answer, or an
+// error, where an event is due. So a block of lines is an event only if it has one id, and if
+// each of its lines is a comment or a field with a name in lowercase, as the fields of
+// server-sent events and the line that names a new version of the weights have.
 package events
 
 import (
@@ -19,9 +25,12 @@
 // ErrTooLong says that an event has more than MaxEventBytes.
 var ErrTooLong = errors.New("event is too long")
 
-// Event is one server-sent event.
+// ErrNoEvent says that a stream has bytes that are no event.
+var ErrNoEvent = errors.New("bytes that are no event")
+
+// Event is one server-sent event, or a block of comments.
 type Event struct {
-	ID    int64  // 0 if the event has none
+	ID    int64  // positive; 0 for a block of comments
 	Bytes []byte // as received, with the blank line that ends the event
 }
 
@@ -29,7 +38,9 @@
 type Reader struct {
 	source  *bufio.Reader
 	pending []byte // the bytes of the current event
+	line    int    // where the current line begins in pending
 	id      int64  // the id of the current event
+	fields  bool   // the current event has fields
 }
 
 // NewReader returns a reader of the events in the body of an answer.
@@ -39,13 +50,13 @@
 
 // Next returns the next event, whose bytes are valid until the next call. At the end of
 // the stream, Next returns io.EOF. If the stream ends within an event, Next returns the
-// bytes of that event and io.ErrUnexpectedEOF.
+// bytes of that event and io.ErrUnexpectedEOF. At bytes that are no event, Next returns
+// ErrNoEvent.
 func (r *Reader) Next() (Event, error) {
-	r.pending = r.pending[:0]
-	r.id = 0
+	r.pending, r.line, r.id, r.fields = r.pending[:0], 0, 0, false
 	for {
-		line, err := r.source.ReadSlice('\n')
-		r.pending = append(r.pending, line...)
+		part, err := r.source.ReadSlice('\n')
+		r.pending = append(r.pending, part...)
 		if len(r.pending) > MaxEventBytes {
 			return Event{}, ErrTooLong
 		}
@@ -58,9 +69,14 @@
 		if err != nil {
 			return Event{}, err
 		}
-		if complete, err := r.parseLine(bytes.TrimRight(line, "\r\n")); complete || err != nil {
-			return Event{ID: r.id, Bytes: r.pending}, err
+		complete, err := r.parseLine(bytes.TrimRight(r.pending[r.line:], "\r\n"))
+		if err != nil {
+			return Event{}, err
+		}
+		if complete {
+			return Event{ID: r.id, Bytes: r.pending}, nil
 		}
+		r.line = len(r.pending)
 	}
 }
 
@@ -71,14 +87,36 @@
 // the event.
 func (r *Reader) parseLine(line []byte) (complete bool, err error) {
 	if len(line) == 0 {
+		if r.fields && r.id == 0 {
+			return false, fmt.Errorf("%w: a block without an id", ErrNoEvent)
+		}
 		return true, nil
 	}
-	value, found := bytes.CutPrefix(line, []byte("id:"))
-	if !found {
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 && hasValue {
+		return false, nil // a comment
+	}
+	if !isFieldName(name) || !hasValue && string(name) != "data" {
+		return false, fmt.Errorf("%w: %.40q", ErrNoEvent, line)
+	}
+	r.fields = true
+	if string(name) != "id" {
 		return false, nil
 	}
-	if r.id, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err != nil {
-		return false, fmt.Errorf("read id of event: %w", err)
+	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil || id <= 0 || r.id != 0 {
+		return false, fmt.Errorf("%w: %.40q is not its only id", ErrNoEvent, line)
 	}
+	r.id = id
 	return false, nil
 }
+
+// isFieldName reports whether a text may be the name of an event's field.
+func isFieldName(text []byte) bool {
+	for _, c := range text {
+		if c != '-' && (c < 'a' || c > 'z') {
+			return false
+		}
+	}
+	return len(text) > 0
+}
