A stream whose ids do not increase has broken off

A stream from its start was joined to the events of another run without a word.

Cause: an event whose id was not above the last one was dropped, as one that the caller had received already, though the run need not be one that goes on after it.

Such an event now ends the attempt; what was sent before it stays, and the stream is resumed or aborted.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -14,7 +15,12 @@
 	"hemlockknot/platform"
 )
 
-// relayStream forwards the events of a stream as they arrive, but only complete ones.
+// errOutOfOrder says that a stream does not go on after the event that the caller has
+// received last: its run began elsewhere, or is none of this request.
+var errOutOfOrder = errors.New("ids of events do not increase")
+
+// relayStream forwards the events of a stream as they arrive, but only complete ones. Their
+// ids increase from the event after which the stream was asked for.
 func (g *Gateway) relayStream(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
 	reader := events.NewReader(response)
 	cancel := func() { response.SetReadTimeout(0) }
@@ -27,7 +33,7 @@
 		defer g.streams.remove(stream)
 	}
 	response.SetReadTimeout(g.responseTimeout(req))
-	for first := true; ; first = false {
+	for begun := false; ; {
 		if retryable {
 			silence.restart(timing.PauseTimeout(req.route))
 		}
@@ -35,19 +41,20 @@
 		if errors.Is(err, io.EOF) {
 			return g.finishStream(req, response)
 		}
+		if err == nil && event.ID != 0 && event.ID <= req.lastEventID {
+			err = fmt.Errorf("%w: %d after %d", errOutOfOrder, event.ID, req.lastEventID)
+		}
 		if err != nil {
 			flush(req) // the caller gets all received events, even if no more follow
-			return g.handleStreamError(req, !first, err)
+			return g.handleStreamError(req, begun, err)
 		}
 		if stream != nil {
 			g.streams.recordEvent(stream)
 		}
-		if first {
+		if event.ID != 0 && !begun {
+			begun = true
 			g.recordAnswer(req)
 		}
-		if event.ID != 0 && event.ID <= req.lastEventID {
-			continue // the caller has received this event already
-		}
 		if req.firstByteAt.IsZero() {
 			g.recordOrigin(req)
 		}
