A stream without an event has not ended

What callers saw: the next target of a broken stream sent an event stream without an event, and the caller's stream ended as whole: 18 of 1,030 answers after a broken stream, 1 of 40 after one that moved; 2 of 60 heads were an empty stream from the start.

Cause: the end of any event stream was taken for the end of the caller's. A target that stops after its head may close its answer in good order, so the last chunk proves nothing before the first event. Such an attempt now ends as a stream that broke off.

The price: a stream that breaks off between its last event and its end is aborted, as a sound target has no event to resume it with. Its caller has all events and sees no end.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,9 +15,14 @@
 	"hemlockknot/platform"
 )
 
-// errOutOfOrder says that a stream does not go on after the event that the caller has
-// received last: its run began elsewhere, or is none of this request.
-var errOutOfOrder = errors.New("ids of events do not increase")
+var (
+	// errOutOfOrder says that a stream does not go on after the event that the caller has
+	// received last: its run began elsewhere, or is none of this request.
+	errOutOfOrder = errors.New("ids of events do not increase")
+	// errNoEvents says that a stream has ended without an event. A target that stopped
+	// after its head may have closed its answer in good order.
+	errNoEvents = errors.New("stream without an event")
+)
 
 // relayStream forwards the events of a stream as they arrive, but only complete ones. Their
 // ids increase from the event after which the stream was asked for.
@@ -37,12 +42,9 @@
 		if retryable {
 			silence.restart(timing.PauseTimeout(req.route))
 		}
-		event, err := reader.Next()
+		event, err := nextEvent(reader, req.lastEventID, begun)
 		if errors.Is(err, io.EOF) {
-			return g.finishStream(req, response)
-		}
-		if err == nil && event.ID != 0 && event.ID <= req.lastEventID {
-			err = fmt.Errorf("%w: %d after %d", errOutOfOrder, event.ID, req.lastEventID)
+			return g.finishStream(req)
 		}
 		if err != nil {
 			flush(req) // the caller gets all received events, even if no more follow
@@ -65,6 +67,19 @@
 	}
 }
 
+// nextEvent returns the next event of a stream that goes on after an event, or comments. At the
+// end of a whole stream it returns io.EOF. Begun reports whether the stream has had an event.
+func nextEvent(reader *events.Reader, after int64, begun bool) (events.Event, error) {
+	event, err := reader.Next()
+	switch {
+	case errors.Is(err, io.EOF) && !begun:
+		return event, errNoEvents
+	case err == nil && event.ID != 0 && event.ID <= after:
+		return event, fmt.Errorf("%w: %d after %d", errOutOfOrder, event.ID, after)
+	}
+	return event, err
+}
+
 // forwardEvent sends one event to the caller, after the response headers if it is the
 // first one. It flushes only if no more events are buffered, and reports whether the
 // caller could be written to.
@@ -99,10 +114,8 @@
 	req.state.RecordAnswerStarted()
 }
 
-// finishStream records a stream that the target has completed. If no event has been
-// forwarded, finishStream sends the response headers.
-func (g *Gateway) finishStream(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
-	g.startResponse(req, response)
+// finishStream records a stream that the target has completed.
+func (g *Gateway) finishStream(req *relayedRequest) attempt.Outcome {
 	g.recordOutcome(req, outlier.Served, true)
 	return attempt.Answered
 }
