An answer that is not of HTTP/1.1 is none

Cause: net/http ignores the Transfer-Encoding of HTTP/1.0 and drops the header, so nothing is left to tell such a body by; it then ends with its connection, or, worse, with a length that may be that of something else.

--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -103,6 +103,7 @@
 var (
 	errUnmatched      = errors.New("only answers to other requests came")
 	errTooManyInterim = errors.New("too many interim answers")
+	errOtherVersion   = errors.New("answer is not of HTTP/1.1")
 )
 
 // ErrExpired says that a request was not sent because NotAfter had passed.
@@ -213,6 +214,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.ProtoMajor != 1 || response.ProtoMinor != 1 {
+			// Targets speak HTTP/1.1. The parser takes the chunks of an older version for a body.
+			return nil, fmt.Errorf("%w: %s", errOtherVersion, response.Proto)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
