An event stream whose type has a parameter is a stream

What callers saw: a 200 that ended within an event and was framed as whole, where the target's Content-Type was "text/event-stream; charset=utf-8": 2 of 60 heads. Such streams also reached callers at once at their end instead of event by event.

Cause: the type was compared as a text, so the answer passed for a plain one.

The case of the test had cut the body at its middle, which is the end of the third event and cannot be told from a whole answer; it now cuts within that event, and fails without the fix in the same 2 of 60 cases.

--- a/internal/gateway/cut_answer_test.go
+++ b/internal/gateway/cut_answer_test.go
@@ -271,7 +271,7 @@
 		{"bytes before the status line", standin.ScriptedAnswer{Preamble: "garbage\r\n"}},
 		{"the id of another request", standin.ScriptedAnswer{ForOther: true, Cut: everything}},
 		{"no body in chunks", standin.ScriptedAnswer{Pieces: []string{}, Framing: standin.FramedByConnection}},
-		{"an event stream with a parameter that breaks off", standin.ScriptedAnswer{ContentType: "text/event-stream; charset=utf-8", Framing: standin.FramedByConnection, Cut: func(head, body string) int { return len(head) + len(body)/2 }}},
+		{"an event stream with a parameter that breaks off", standin.ScriptedAnswer{ContentType: "text/event-stream; charset=utf-8", Framing: standin.FramedByConnection, Cut: cutAfterEvents(2, 7)}},
 	}
 	var cases []answerCase
 	for _, head := range heads {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -364,8 +365,10 @@
 	return info.NotRun && status >= http.StatusBadRequest || status == http.StatusMisdirectedRequest && !info.Signed
 }
 
+// isEventStream reports whether a response is a stream, whatever the parameters of its type.
 func isEventStream(response *exchange.Answer) bool {
-	return response.Status == http.StatusOK && response.Header.Get("Content-Type") == "text/event-stream"
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return response.Status == http.StatusOK && strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // recordOutcome records how an attempt ended. If that ejects the target, it closes the
