A target's untrue promise is not passed on

Cause: the target's own errors are delivered as they are. To callers these statuses promise that the request has not run and never will (REFUSED); of a target, "no other response states this" than one that says so itself. Such a request is now answered 502, may have run. Requests that may be repeated get the target's answer as before, as do 421, which no target sends for a request that it runs.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -365,6 +365,12 @@
 	return info.NotRun && status >= http.StatusBadRequest || status == http.StatusMisdirectedRequest && !info.Signed
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and never
+// will. A target may use it without saying so itself: then the request may have run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // isEventStream reports whether a response is a stream, whatever the parameters of its type.
 func isEventStream(response *exchange.Answer) bool {
 	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
@@ -443,6 +449,10 @@
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	switch {
+	case promisesNotRun(response.Status) && !req.route.Repeatable():
+		req.reason = "untrue_promise"
+		g.recordOutcome(req, outlier.ServerError, true)
+		return attempt.NoAnswer
 	case response.Status >= http.StatusInternalServerError:
 		req.reason = "failed_at_target"
 		req.failedResponse = buffered
