--- a/internal/gateway/broken_stream_test.go
+++ b/internal/gateway/broken_stream_test.go
@@ -120,6 +120,30 @@
 	return cases
 }
 
+// cutResumptionCases returns a case for each framing, end of the connection and place at which a
+// resumed stream breaks off.
+func cutResumptionCases() []answerCase {
+	const last = 2
+	var cases []answerCase
+	for framing, framingName := range []string{"chunks", "length", "connection"} {
+		for _, reset := range []bool{false, true} {
+			for _, cut := range boundaryCuts(true) {
+				if cut.name == "after the first event" {
+					continue // the resumed stream does not have it
+				}
+				answer := standin.ScriptedAnswer{Framing: standin.Framing(framing), Cut: cut.cut, Reset: reset}
+				cases = append(cases, answerCase{
+					name:        fmt.Sprintf("resumed, framed by %s, reset %t, cut %s", framingName, reset, cut.name),
+					call:        standin.CallerRequest{Path: "/drafts/1"},
+					answers:     []standin.ScriptedAnswer{{Cut: cutAfterEvents(last, 7)}, answer},
+					mayEndEarly: cut.mayPass && answer.Framing == standin.FramedByConnection && !reset,
+				})
+			}
+		}
+	}
+	return cases
+}
+
 // hangDeadlineMs is the deadline in milliseconds of requests whose targets may never answer.
 const hangDeadlineMs = "1000"
 
--- a/internal/gateway/cut_answer_test.go
+++ b/internal/gateway/cut_answer_test.go
@@ -240,7 +240,7 @@
 // callers got a 200 with an empty or short body that was framed as whole.
 func TestAnswerThatBreaksOffDoesNotLookComplete(t *testing.T) {
 	fleet := newLinkedFleetWithRetries(t, 3, retryForEachCase)
-	cases := cutCases()
+	cases := append(cutCases(), cutResumptionCases()...)
 	t.Run("of the daemon's own target", func(t *testing.T) {
 		mustBeSound(t, cases, fleet.checkAnswers(1, cases))
 	})
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -145,6 +145,13 @@
 	if err != nil {
 		return nil, &Error{Step: "read answer of", Address: request.Address, MaybeSent: true, TimedOut: isTimeout(err), Err: err}
 	}
+	answer := newAnswer(response, request, c)
+	answer.pool, answer.writeResult = p, writeResult
+	return answer, nil
+}
+
+// newAnswer returns the answer to a request whose header has been read from a connection.
+func newAnswer(response *http.Response, request Request, c *conn) *Answer {
 	return &Answer{
 		Status:      response.StatusCode,
 		Header:      response.Header,
@@ -152,10 +159,8 @@
 		Length:      response.ContentLength,
 		body:        response.Body,
 		conn:        c,
-		pool:        p,
-		writeResult: writeResult,
 		idleTimeout: idleTimeout(response, request),
-	}, nil
+	}
 }
 
 // idleTimeout returns how long the connection may stay in the pool after the answer.
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -302,3 +302,38 @@
 		must.LessEq(t, int64(len(sent)), read)
 	})
 }
+
+// FuzzAnswer checks that an answer of which the connection carries a beginning only is never
+// read as a whole one that is shorter, unless it ends with its connection.
+func FuzzAnswer(f *testing.F) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+	f.Add([]byte(head+"Content-Length: 2\r\n\r\nok"), 1)
+	f.Add([]byte(head+"Transfer-Encoding: chunked\r\n\r\n1;x=y\r\no\r\n1\r\nk\r\n0\r\nX-End: 1\r\n\r\n"), 7)
+	f.Add([]byte("HTTP/1.1 102 P\r\n\r\n"+head+"\r\nok"), 2)
+	f.Add([]byte("HTTP/1.0 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, sent []byte, missing int) {
+		whole, _, err := readSent(sent)
+		if err != nil || missing <= 0 || missing > len(sent) {
+			return
+		}
+		cut, framed, err := readSent(sent[:len(sent)-missing])
+		if err == nil && framed {
+			must.Eq(t, whole, cut)
+		}
+	})
+}
+
+// readSent returns the body of the answer in the bytes that a target has sent before it closed
+// the connection.
+func readSent(sent []byte) (body string, framed bool, err error) {
+	request := newRequest("target", "a", nil)
+	c := newConn(bytesConn{Reader: bytes.NewReader(sent)}, "target")
+	outgoing := newHTTPRequest(request)
+	response, err := readMatchingAnswer(c, outgoing, request.Matches)
+	if err != nil {
+		return "", false, err
+	}
+	answer := newAnswer(response, request, c)
+	content, err := io.ReadAll(answer)
+	return string(content), answer.Framed, err
+}
