--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -229,7 +230,19 @@
 		g.recordOutcome(req, outlier.Busy, true)
 		return attempt.Refused
 	}
-	if isEventStream(response) {
+	return g.relayAnswer(req, response, info, silence)
+}
+
+// relayAnswer passes a target's answer on to the caller. A success without the target's
+// signature is not the target's.
+func (g *Gateway) relayAnswer(req *relayedRequest, response *exchange.Answer, info relay.Answer, silence *silenceTimer) attempt.Outcome {
+	switch {
+	case response.Status < http.StatusMultipleChoices && !info.Signed:
+		req.reason = "unsigned_answer"
+		g.recordOutcome(req, outlier.ServerError, true)
+		g.log.Info("attempt failed", "request", req.call.ID, "target", req.targetID(), "reason", req.reason, "status", response.Status)
+		return attempt.NoAnswer
+	case isEventStream(response):
 		silence.stop()
 		return g.relayStream(req, response)
 	}
@@ -357,8 +370,16 @@
 	return info.NotRun && status >= http.StatusBadRequest || status == http.StatusMisdirectedRequest && !info.Signed
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and never
+// will. A target may use it without saying so itself: then the request may have run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// isEventStream reports whether a response is a stream, whatever the parameters of its type.
 func isEventStream(response *exchange.Answer) bool {
-	return response.Status == http.StatusOK && response.Header.Get("Content-Type") == "text/event-stream"
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return response.Status == http.StatusOK && strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // recordOutcome records how an attempt ended. If that ejects the target, it closes the
@@ -433,6 +454,10 @@
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	switch {
+	case promisesNotRun(response.Status) && !req.route.Repeatable():
+		req.reason = "untrue_promise"
+		g.recordOutcome(req, outlier.ServerError, true)
+		return attempt.NoAnswer
 	case response.Status >= http.StatusInternalServerError:
 		req.reason = "failed_at_target"
 		req.failedResponse = buffered
