An event is flushed unless the next one is there as a whole

Any buffered byte counted as more events to come, and an event was held back until the next one was complete. Now only a whole event that is buffered does (TestHasNext).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,7 +60,7 @@
 		if req.firstByteAt.IsZero() {
 			g.recordOrigin(req)
 		}
-		if !g.forwardEvent(req, response, event, reader.Buffered()) {
+		if !g.forwardEvent(req, response, event, reader.HasNext()) {
 			req.unwritable = true
 			g.recordOutcome(req, outlier.Served, false)
 			return attempt.Interrupted
@@ -82,15 +82,15 @@
 }
 
 // forwardEvent sends one event to the caller, after the response headers if it is the
-// first one. It flushes only if no more events are buffered, and reports whether the
-// caller could be written to.
-func (g *Gateway) forwardEvent(req *relayedRequest, response *exchange.Answer, event events.Event, moreBuffered bool) bool {
+// first one. It flushes unless the next event is there already, and reports whether the caller
+// could be written to.
+func (g *Gateway) forwardEvent(req *relayedRequest, response *exchange.Answer, event events.Event, hasNext bool) bool {
 	g.startResponse(req, response)
 	if _, err := req.w.Write(event.Bytes); err != nil {
 		return false
 	}
 	req.lastEventID = max(req.lastEventID, event.ID)
-	if moreBuffered {
+	if hasNext {
 		return true
 	}
 	return flush(req)
--- a/internal/protocol/events/events.go
+++ b/internal/protocol/events/events.go
@@ -80,8 +80,12 @@
 	}
 }
 
-// Buffered reports whether the reader has bytes that Next has not returned yet.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
+// HasNext reports whether the reader holds the whole of the next event already, so that Next
+// returns it without waiting for the target.
+func (r *Reader) HasNext() bool {
+	buffered, _ := r.source.Peek(r.source.Buffered()) // never fails, as it reads nothing
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // parseLine stores the id if the line has one, and reports whether the line completes
 // the event.
--- a/internal/protocol/events/events_test.go
+++ b/internal/protocol/events/events_test.go
@@ -119,3 +119,23 @@
 	}
 	return false
 }
+
+func TestHasNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		has  bool
+	}{
+		"nothing more":                     {"", false},
+		"the beginning of the next event":  {"id: 2\ndata: b\n", false},
+		"the next event":                   {"id: 2\ndata: b\n\n", true},
+		"the next event, with CR":          {"id: 2\r\ndata: b\r\n\r\n", true},
+		"the next event and a part of one": {"id: 2\n\nid: 3", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := NewReader(strings.NewReader("id: 1\n\n" + c.text))
+			_, err := reader.Next()
+			must.NoError(t, err)
+			must.Eq(t, c.has, reader.HasNext())
+		})
+	}
+}
