Known red: sound targets fall silent for a second, and their streams are aborted

A table of ways in which sound targets are silent for 1,100 or 1,500 ms and go on: connections accepted, unanswered or refused, at one daemon or at all, one service or failure domain, beside a configuration, beside a process short of processor time. More exchanges are open than the budget has retries: streams that have begun, and streams and plain requests that wait for their head.

--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -15,11 +15,12 @@
 type linkState int
 
 const (
-	linkUp         linkState = iota
-	linkResets               // connections are reset, new ones are refused
-	linkSilent               // connections stay open and carry nothing, new ones get no answer
-	linkMute                 // new connections are accepted, but none carries anything
-	linkRefusesNew           // connections live on, new ones are refused
+	linkUp               linkState = iota
+	linkResets                     // connections are reset, new ones are refused
+	linkSilent                     // connections stay open and carry nothing, new ones get no answer
+	linkMute                       // new connections are accepted, but none carries anything
+	linkRefusesNew                 // connections live on, new ones are refused
+	linkSilentRefusesNew           // connections stay open and carry nothing, new ones are refused
 )
 
 // targetLink is the path from one daemon to all targets, which a test can cut.
@@ -81,7 +82,7 @@
 // dial opens a connection to a target by way of the link.
 func (l *targetLink) dial(ctx context.Context, address string) (net.Conn, error) {
 	switch state, _ := l.stateFor(address); state {
-	case linkResets, linkRefusesNew:
+	case linkResets, linkRefusesNew, linkSilentRefusesNew:
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	case linkSilent:
 		ctx, cancel := context.WithTimeout(ctx, exchange.DialTimeout)
@@ -143,7 +144,7 @@
 		n, err := from.Read(buffer)
 		for {
 			state, changed := l.stateFor(address)
-			if state != linkSilent && state != linkMute {
+			if state != linkSilent && state != linkMute && state != linkSilentRefusesNew {
 				break
 			}
 			<-changed
--- a/internal/gateway/unreached_targets_test.go
+++ b/internal/gateway/unreached_targets_test.go
@@ -36,7 +36,12 @@
 
 // newLinkedFleet starts daemons before engines and plain targets in two failure domains.
 func newLinkedFleet(t *testing.T, daemons int) *linkedFleet {
-	first := &testFixture{t: t, store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, grace: shortGrace, retryExtra: 20 * defaultRetryExtra}
+	return newLinkedFleetWithRetries(t, daemons, 20*defaultRetryExtra)
+}
+
+// newLinkedFleetWithRetries is newLinkedFleet with another number of retries beyond the ratio.
+func newLinkedFleetWithRetries(t *testing.T, daemons int, extra float64) *linkedFleet {
+	first := &testFixture{t: t, store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, grace: shortGrace, retryExtra: extra}
 	t.Cleanup(first.store.Close)
 	first.store.Put(platform.KindDocument, platform.DocumentName, standin.Document(1, standin.WorkspaceKey))
 	fleet := &linkedFleet{t: t}
