An exchange with a silent target ends only with its next attempt reserved

Callers got aborted streams and 502 while sound targets were silent for a second. Once a service counted as unreached, or a failure domain as cut off, all streams and waits that may be repeated were cancelled at once, whatever the retry budget granted and whether a target or a daemon would take them; streams that still flowed on old connections too. A silence timer asked the budget, but took a request to a target that was just as silent, and after four failed connections the caller got 502.

Now only the silence timer ends an exchange. A service that is not reached and a domain that is cut off ask it early, each round of their probes, and it ends only waits that have been silent for 120 ms and whose next attempt is reserved: a retry of the budget, and a target that is not ejected, or a daemon while no target of the service is reached. A request so taken goes on as soon as any target is reached, until its deadline, and no longer fails after four connections. The timer pauses while an event is written to the caller: a slow caller was taken for a silent target, and fields of the request were read while they changed.

--- a/internal/coordination/cutoff/cutoff.go
+++ b/internal/coordination/cutoff/cutoff.go
@@ -12,10 +12,10 @@
 
 // Thresholds for silent domains.
 const (
-	// silenceThreshold is the time without an event from any of a domain's streams
+	// SilenceThreshold is the time without an event from any of a domain's streams
 	// after which the domain counts as silent. An engine sends an event about every
 	// 25 ms.
-	silenceThreshold = 120 * time.Millisecond
+	SilenceThreshold = 120 * time.Millisecond
 	// maxActiveEventAge is how old the last event of some other domain may be. If all
 	// domains are silent, this daemon itself was stalled.
 	maxActiveEventAge = 60 * time.Millisecond
@@ -48,7 +48,7 @@
 func SilentDomains(domains []DomainStreams, localDomain string, now time.Time) []string {
 	var silent []string
 	for _, d := range domains {
-		if d.Domain != localDomain && d.Targets >= minStreamingTargets && now.Sub(d.LastEvent) >= silenceThreshold && othersActive(domains, d.Domain, now) {
+		if d.Domain != localDomain && d.Targets >= minStreamingTargets && now.Sub(d.LastEvent) >= SilenceThreshold && othersActive(domains, d.Domain, now) {
 			silent = append(silent, d.Domain)
 		}
 	}
@@ -80,7 +80,7 @@
 	var silent []string
 	for _, s := range services {
 		silence := now.Sub(s.LastAnswer)
-		if s.Targets >= minServiceTargets && silence >= silenceThreshold || s.Waiting >= minWaitingTargets && silence >= WaitThreshold {
+		if s.Targets >= minServiceTargets && silence >= SilenceThreshold || s.Waiting >= minWaitingTargets && silence >= WaitThreshold {
 			silent = append(silent, s.Service)
 		}
 	}
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -53,8 +53,8 @@
 // checkQuarantine returns why the request's next attempt must not be made, nil if it may
 // be. The caller must run on the coordinator's goroutine.
 func (c *coordinator) checkQuarantine(req *relayedRequest, trialRank func(uint64) int, now time.Time) *quarantine.Hold {
-	if req.brokenAt != 0 {
-		if hold := c.quarantine.CheckRetry(req.features(), req.brokenAt); hold != nil {
+	if brokenAt := req.brokenAt.Load(); brokenAt != 0 {
+		if hold := c.quarantine.CheckRetry(req.features(), brokenAt); hold != nil {
 			return hold
 		}
 	}
@@ -120,14 +120,14 @@
 	return found
 }
 
-// hasTarget reports whether there is a target for the request's next attempt.
+// hasTarget reports whether there is a target for the request's next attempt that is not ejected.
 func (c *coordinator) hasTarget(req *relayedRequest) bool {
 	found := false
 	c.do(func() {
 		now := time.Now()
 		noTrial := func(uint64) int { return quarantine.NoTrial }
 		if c.checkQuarantine(req, noTrial, now) == nil {
-			found = c.choose(req, c.newQuery(req, now), now).Target != nil
+			found = c.placement.Choose(c.newQuery(req, now), now).Target != nil
 		}
 	})
 	return found
--- a/internal/gateway/cutoff.go
+++ b/internal/gateway/cutoff.go
@@ -84,23 +84,23 @@
 	}
 }
 
-// handleCutOff closes the idle connections to a failure domain that is cut off and
-// cancels its retryable streams. This daemon resumes those elsewhere as far as the
-// retry budget allows; the callers must retry the rest. The domain is then probed
-// until it is reachable again.
+// handleCutOff closes the idle connections to a failure domain that is cut off. Its silent
+// streams are resumed elsewhere as far as the retry budget allows; the rest go on waiting. The
+// domain is then probed until it is reachable again.
 func (g *Gateway) handleCutOff(domain, evidence string) {
 	targets := g.coordinator.domainTargets(domain)
 	for _, target := range targets {
 		g.pool.CloseIdle(target.Address)
 	}
-	cancelled := g.streams.cancelDomain(domain)
+	moved := expireEarly(g.streams.domainWaits(domain))
 	g.metrics.countDomainCut()
-	g.log.Warn("failure domain is cut off", "domain", domain, "evidence", evidence, "targets", len(targets), "streams_moved", cancelled)
+	g.log.Warn("failure domain is cut off", "domain", domain, "evidence", evidence, "targets", len(targets), "streams_moved", moved)
 	go g.probeUntilReachable(domain)
 }
 
 // probeUntilReachable dials random targets of a failure domain until one responds or
-// the domain has no targets left.
+// the domain has no targets left. Before each dial it moves the silent streams for which there
+// was no retry before.
 func (g *Gateway) probeUntilReachable(domain string) {
 	started := time.Now()
 	for delay := firstProbeDelay; ; delay = probeInterval {
@@ -109,6 +109,7 @@
 			return
 		case <-time.After(delay):
 		}
+		_ = expireEarly(g.streams.domainWaits(domain))
 		targets := g.coordinator.domainTargets(domain)
 		if len(targets) == 0 || g.reachable(targets[rand.IntN(len(targets))], exchange.DialTimeout) {
 			g.coordinator.markDomainReachable(domain)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -121,7 +121,7 @@
 		req.choice.Target = &fleet.Target{ID: answer.Target, Service: req.service, SoftwareVersion: answer.SoftwareVersion}
 	}
 	if answer.BrokenAt != 0 {
-		req.brokenAt = answer.BrokenAt
+		req.brokenAt.Store(answer.BrokenAt)
 	}
 	switch answer.Outcome {
 	case forward.Answered:
@@ -151,7 +151,7 @@
 	description := forward.Request{
 		Entry: g.settings.Host, Service: req.service, Route: *req.route, DocumentVersion: req.version,
 		Remaining: time.Until(req.deadline), SoftwareVersion: req.softwareVersion, VersionPinned: req.versionPinned,
-		LastEventID: req.lastEventID, Tried: req.sentTo, BrokenAt: req.brokenAt, Digest: req.digest,
+		LastEventID: req.lastEventID, Tried: req.sentTo, BrokenAt: req.brokenAt.Load(), Digest: req.digest,
 	}
 	description.Route.ServiceWeights = nil
 	if req.workspace != nil {
--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -86,8 +86,8 @@
 		state:           attempt.New(attempt.Policy{MaxAttempts: 1}),
 		softwareVersion: description.SoftwareVersion, versionPinned: description.VersionPinned,
 		lastEventID: max(incoming.call.LastEventID, description.LastEventID),
-		brokenAt:    description.BrokenAt,
 	}
+	req.brokenAt.Store(description.BrokenAt)
 	for _, id := range description.Tried {
 		req.triedTargets[id] = true
 	}
@@ -136,7 +136,7 @@
 
 // answerForwarded answers a forwarded request for which there is no answer of a target.
 func (g *Gateway) answerForwarded(req *relayedRequest, outcome forward.Outcome, retryAfter time.Duration) {
-	answer := forward.Answer{Outcome: outcome, Reason: req.reason, RetryAfter: retryAfter, BrokenAt: req.brokenAt}
+	answer := forward.Answer{Outcome: outcome, Reason: req.reason, RetryAfter: retryAfter, BrokenAt: req.brokenAt.Load()}
 	if req.choice.Target != nil && (outcome == forward.Refused || outcome == forward.NoAnswer) {
 		answer.Target, answer.SoftwareVersion = req.choice.Target.ID, req.choice.Target.SoftwareVersion
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -60,7 +60,7 @@
 	}
 	target := req.choice.Target
 	if !silent {
-		req.brokenAt = target.IncarnationHash()
+		req.brokenAt.Store(target.IncarnationHash())
 	}
 	if !g.crashChecks.add(target.IncarnationHash(), brokenRequest{req.features(), progress, silent}) {
 		return
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,6 +29,9 @@
 	// minDispatchTime is the least time that a target is given. Without any it would set no
 	// deadline.
 	minDispatchTime = time.Millisecond
+	// takenRetryInterval is the time between the attempts of a request that was taken from a
+	// silent target and has not reached another one.
+	takenRetryInterval = 50 * time.Millisecond
 	// responseSlack is how long after the request's deadline the response of a target
 	// is still accepted.
 	responseSlack = 50 * time.Millisecond
@@ -59,12 +62,15 @@
 	// retryReserved is true if the next attempt has been taken from the retry budget
 	// already.
 	retryReserved atomic.Bool
-	hold          *quarantine.Hold // why the last attempt was not made; nil if it was
+	// taken is true if this daemon has ended the last attempt on purpose, as its target was
+	// silent: the next attempt must find a target.
+	taken atomic.Bool
+	hold  *quarantine.Hold // why the last attempt was not made; nil if it was
 	// softwareVersion is the only version of targets that may serve the request, as its
 	// stream began there, if versionPinned is set.
 	softwareVersion string
 	versionPinned   bool
-	brokenAt        uint32 // incarnation of the last target whose connection broke; 0: none
+	brokenAt        atomic.Uint32 // incarnation of the last target whose connection broke; 0: none
 
 	sentTo          []string // ids of targets that may have received the request
 	via             string   // the daemon by way of which the last attempt was made; empty: none
@@ -121,10 +127,30 @@
 	return req.choice.Target.ID
 }
 
-// attemptOnce makes one attempt: at a target, or by way of another daemon if this one reaches
-// none. It forwards the events of a stream, or a complete response that is final, to the caller
-// at once.
+// attemptOnce makes one attempt. It forwards the events of a stream, or a complete response that
+// is final, to the caller at once. A request that was taken from a silent target goes on as soon
+// as any target can be reached, as it would have there.
 func (g *Gateway) attemptOnce(req *relayedRequest) attempt.Outcome {
+	taken := req.taken.Swap(false)
+	for {
+		outcome := g.tryOnce(req, taken)
+		if !taken || outcome != attempt.NotSent && outcome != attempt.NoTarget {
+			return outcome
+		}
+		select {
+		case <-req.r.Context().Done():
+			return outcome
+		case <-time.After(min(takenRetryInterval, max(0, time.Until(req.deadline)))):
+		}
+		clear(req.triedTargets)
+		req.triedForwarders = nil
+	}
+}
+
+// tryOnce makes an attempt at a target, or by way of another daemon if this one reaches none. A
+// request that was taken from a silent target is not tried in vain at targets that are not
+// reached.
+func (g *Gateway) tryOnce(req *relayedRequest, taken bool) attempt.Outcome {
 	if outOfTime(req) {
 		return attempt.DeadlineExceeded
 	}
@@ -133,7 +159,7 @@
 		if outcome, made := g.forwardAttempt(req); made {
 			return outcome
 		}
-		if req.state.UnsentAttempts() > 0 && g.coordinator.unreached(req.service) {
+		if (taken || req.state.UnsentAttempts() > 0) && g.coordinator.unreached(req.service) {
 			req.reason = reasonUnreached
 			return attempt.NoTarget
 		}
@@ -204,13 +230,14 @@
 	defer cancel()
 	silence := g.watchSilence(req, cancel)
 	defer silence.stop()
-	waiting := g.streams.addWaiting(choice.Target, cancelIfAllowed(cancel, req.state.RetryAllowed()))
+	waiting := g.streams.addWaiting(choice.Target, silence.ifAllowed(req.state.RetryAllowed()))
 	response, exchangeErr := g.pool.Do(ctx, g.buildRequest(req, max(time.Until(req.deadline), minDispatchTime)))
 	g.streams.removeWaiting(waiting, exchangeErr == nil)
 	if exchangeErr == nil || exchangeErr.MaybeSent {
 		req.sentTo = append(req.sentTo, choice.Target.ID)
 	}
 	if exchangeErr != nil {
+		silence.stop() // it reads what the error changes
 		return g.handleAttemptError(req, exchangeErr)
 	}
 	defer response.Close()
@@ -231,14 +258,6 @@
 	return g.relayBuffered(req, response)
 }
 
-// cancelIfAllowed returns a function, or nil if it must not be called.
-func cancelIfAllowed(cancel func(), allowed bool) func() {
-	if !allowed {
-		return nil
-	}
-	return cancel
-}
-
 // watchSilence starts the timer that cancels an attempt whose first byte does not come, if
 // the request may be retried.
 func (g *Gateway) watchSilence(req *relayedRequest, cancel func()) *silenceTimer {
@@ -340,9 +359,22 @@
 }
 
 // mayRetryElsewhere reports whether the request may be taken from a silent target: another
-// one would take it, and the retry budget has granted it an attempt.
+// target or daemon would take it, and the retry budget has granted it an attempt.
 func (g *Gateway) mayRetryElsewhere(req *relayedRequest) bool {
-	return (g.coordinator.hasTarget(req) || g.mustForward(req) && g.canForward(req)) && g.reserveRetry(req)
+	if !g.hasNextAttempt(req) || !g.reserveRetry(req) {
+		return false
+	}
+	req.taken.Store(true)
+	return true
+}
+
+// hasNextAttempt reports whether another target or daemon would take the request. While no target
+// of its service is reached, only a daemon can.
+func (g *Gateway) hasNextAttempt(req *relayedRequest) bool {
+	if g.mustForward(req) && g.canForward(req) {
+		return true
+	}
+	return !g.coordinator.unreached(req.service) && g.coordinator.hasTarget(req)
 }
 
 // refusedByTarget reports whether a response says that the target has not run the
--- a/internal/gateway/silence_timer_test.go
+++ b/internal/gateway/silence_timer_test.go
@@ -44,6 +44,46 @@
 	})
 }
 
+func TestWaitExpiresEarlyOnlyOnceAndWithARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		retryLeft, reserved, cancelled := false, 0, 0
+		timer := newSilenceTimer(func() bool { reserved++; return retryLeft }, func() { cancelled++ })
+		must.False(t, timer.expireEarly(0), must.Sprint("before the wait begins"))
+		timer.restart(time.Hour)
+		time.Sleep(time.Second)
+		must.False(t, timer.expireEarly(2*time.Second), must.Sprint("not silent for long enough"))
+		must.Eq(t, 0, reserved)
+		must.False(t, timer.expireEarly(time.Second), must.Sprint("no retry"))
+		must.Eq(t, 0, cancelled)
+		retryLeft = true
+		must.True(t, timer.expireEarly(time.Second))
+		must.False(t, timer.expireEarly(time.Second))
+		time.Sleep(2 * time.Hour)
+		synctest.Wait()
+		must.Eq(t, 2, reserved)
+		must.Eq(t, 1, cancelled)
+	})
+}
+
+// While the caller is slow to take an event, its target is not silent.
+func TestPausedTimerDoesNotCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cancelled := false
+		timer := newSilenceTimer(func() bool { return true }, func() { cancelled = true })
+		timer.restart(time.Second)
+		timer.pause()
+		time.Sleep(time.Minute)
+		must.False(t, timer.expireEarly(0))
+		timer.restart(time.Second)
+		time.Sleep(time.Second - time.Millisecond)
+		synctest.Wait()
+		must.False(t, cancelled)
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		must.True(t, cancelled)
+	})
+}
+
 // After a pause of the daemon itself, data of the target may be waiting to be read. The
 // timer must not count that pause as silence of the target.
 func TestPauseOfTheDaemonIsNotSilenceOfTheTarget(t *testing.T) {
@@ -95,10 +135,12 @@
 	}
 	f.eventually(func() bool { return len(f.daemon.coordinator.domainTargets("south")) == 2 })
 	for _, target := range f.daemon.coordinator.domainTargets("south") {
-		f.daemon.streams.add(target, func() { t.Error("a stream was cancelled") }, true)
+		silence := newSilenceTimer(func() bool { return true }, func() { t.Error("a stream was cancelled") })
+		silence.restart(time.Hour)
+		f.daemon.streams.add(target, silence)
 	}
 	north := f.daemon.coordinator.domainTargets("north")[0]
-	northStream := f.daemon.streams.add(north, func() {}, true)
+	northStream := f.daemon.streams.add(north, newSilenceTimer(func() bool { return true }, func() {}))
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		f.daemon.streams.recordEvent(northStream)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,7 +23,7 @@
 	retryable := req.state.RetryAllowed()
 	var stream *trackedStream
 	if req.via == "" {
-		stream = g.streams.add(req.choice.Target, cancel, retryable)
+		stream = g.streams.add(req.choice.Target, silence.ifAllowed(retryable))
 		defer g.streams.remove(stream)
 	}
 	response.SetReadTimeout(g.responseTimeout(req))
@@ -32,6 +32,7 @@
 			silence.restart(timing.PauseTimeout(req.route))
 		}
 		event, err := reader.Next()
+		silence.pause() // from here on the caller may be slow, not the target
 		if errors.Is(err, io.EOF) {
 			return g.finishStream(req, response)
 		}
--- a/internal/gateway/stream_tracker.go
+++ b/internal/gateway/stream_tracker.go
@@ -19,9 +19,9 @@
 
 // waitingRequest is a request that has been sent and has brought no answer.
 type waitingRequest struct {
-	target *fleet.Target
-	since  time.Time
-	cancel func() // ends the wait; nil if the request must not be sent to another target
+	target  *fleet.Target
+	since   time.Time
+	silence *silenceTimer // nil if the request must not be sent to another target
 }
 
 // domainStreams are the open streams from the targets of one failure domain.
@@ -34,17 +34,18 @@
 type trackedStream struct {
 	domain *domainStreams
 	target *fleet.Target
-	cancel func() // cancels the wait for the next event
-	// retryable is true if another target may continue the stream.
-	retryable bool
+	// silence cancels the wait for the next event; nil if no other target may continue the
+	// stream.
+	silence *silenceTimer
 }
 
 func newStreamTracker() *streamTracker {
 	return &streamTracker{domains: make(map[string]*domainStreams), services: make(map[string]time.Time), waiting: make(map[*waitingRequest]struct{})}
 }
 
-// add tracks a stream whose response has begun.
-func (t *streamTracker) add(target *fleet.Target, cancel func(), retryable bool) *trackedStream {
+// add tracks a stream whose response has begun. Silence is nil if no other target may continue
+// the stream.
+func (t *streamTracker) add(target *fleet.Target, silence *silenceTimer) *trackedStream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	domain := t.domains[target.FailureDomain]
@@ -52,7 +53,7 @@
 		domain = &domainStreams{streams: make(map[*trackedStream]struct{})}
 		t.domains[target.FailureDomain] = domain
 	}
-	stream := &trackedStream{domain: domain, target: target, cancel: cancel, retryable: retryable}
+	stream := &trackedStream{domain: domain, target: target, silence: silence}
 	domain.streams[stream] = struct{}{}
 	domain.lastEvent = time.Now()
 	t.services[target.Service] = domain.lastEvent
@@ -120,12 +121,12 @@
 	return snapshot
 }
 
-// addWaiting tracks a request that is sent. Cancel ends its wait; nil if it must not be sent to
-// another target.
-func (t *streamTracker) addWaiting(target *fleet.Target, cancel func()) *waitingRequest {
+// addWaiting tracks a request that is sent. Silence is nil if it must not be sent to another
+// target.
+func (t *streamTracker) addWaiting(target *fleet.Target, silence *silenceTimer) *waitingRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	request := &waitingRequest{target: target, since: time.Now(), cancel: cancel}
+	request := &waitingRequest{target: target, since: time.Now(), silence: silence}
 	t.waiting[request] = struct{}{}
 	return request
 }
@@ -173,41 +174,51 @@
 	s[target.Service][target] = struct{}{}
 }
 
-// cancelService cancels the retryable streams and waits of a service and returns their number.
-func (t *streamTracker) cancelService(name string) int {
+// serviceWaits returns the timers of the streams and waits of a service that may go on at another
+// target.
+func (t *streamTracker) serviceWaits(name string) []*silenceTimer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cancelled := 0
+	var waits []*silenceTimer
 	for _, domain := range t.domains {
 		for stream := range domain.streams {
-			if stream.retryable && stream.target.Service == name {
-				stream.cancel()
-				cancelled++
+			if stream.silence != nil && stream.target.Service == name {
+				waits = append(waits, stream.silence)
 			}
 		}
 	}
 	for request := range t.waiting {
-		if request.cancel != nil && request.target.Service == name {
-			request.cancel()
-			cancelled++
+		if request.silence != nil && request.target.Service == name {
+			waits = append(waits, request.silence)
 		}
 	}
-	return cancelled
+	return waits
 }
 
-// cancelDomain cancels the retryable streams of a failure domain and returns their
-// number.
-func (t *streamTracker) cancelDomain(name string) int {
+// domainWaits returns the timers of the streams of a failure domain that another target may
+// continue.
+func (t *streamTracker) domainWaits(name string) []*silenceTimer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	domain := t.domains[name]
 	if domain == nil {
-		return 0
+		return nil
 	}
-	cancelled := 0
+	var waits []*silenceTimer
 	for stream := range domain.streams {
-		if stream.retryable {
-			stream.cancel()
+		if stream.silence != nil {
+			waits = append(waits, stream.silence)
+		}
+	}
+	return waits
+}
+
+// expireEarly cancels the waits that are silent and whose next attempt could be reserved, and
+// returns their number. The tracker's mutex must not be held: reserving asks the coordinator.
+func expireEarly(waits []*silenceTimer) int {
+	cancelled := 0
+	for _, silence := range waits {
+		if silence.expireEarly(cutoff.SilenceThreshold) {
 			cancelled++
 		}
 	}
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -76,17 +76,17 @@
 	return g.streams.answeredSince(startedAt)
 }
 
-// handleUnreached closes the idle connections to a service that is not reached and cancels
-// its streams that may go on elsewhere: other daemons may reach the service. The targets are
-// then probed until one answers. Other services are checked at once, as a host that loses one
-// often loses all.
+// handleUnreached closes the idle connections to a service that is not reached. Its silent
+// streams and waits go on by way of other daemons, which may reach the service, as far as these
+// can take them and the retry budget allows. The targets are then probed until one answers. Other
+// services are checked at once, as a host that loses one often loses all.
 func (g *Gateway) handleUnreached(service, evidence string) {
 	for _, target := range g.coordinator.serviceTargets(service) {
 		g.pool.CloseIdle(target.Address)
 	}
-	cancelled := g.streams.cancelService(service)
+	moved := expireEarly(g.streams.serviceWaits(service))
 	g.metrics.countUnreachedService()
-	g.log.Warn("no target of the service is reached, requests are forwarded to other daemons", "service", service, "evidence", evidence, "streams_moved", cancelled)
+	g.log.Warn("no target of the service is reached, requests are forwarded to other daemons", "service", service, "evidence", evidence, "streams_moved", moved)
 	g.peers.announceUnreached(g.coordinator.unreachedServices())
 	go g.probeUntilReached(service)
 	go g.verifyOtherServices()
@@ -106,7 +106,8 @@
 }
 
 // probeUntilReached probes targets of a service until one answers, or the service is reached
-// otherwise or has no targets left.
+// otherwise or has no targets left. Before each round it moves the silent streams and waits for
+// which there was no retry or no daemon before.
 func (g *Gateway) probeUntilReached(service string) {
 	delay := firstProbeDelay
 	for round := 1; ; round++ {
@@ -116,6 +117,7 @@
 		case <-time.After(delay):
 		}
 		delay = probeInterval
+		_ = expireEarly(g.streams.serviceWaits(service))
 		targets := g.coordinator.sampleTargets(service, reachProbes)
 		if round%roundsForAll == 0 {
 			targets = sample(g.coordinator.candidates(service), 1)
