Probes that end late do not show that targets are silent

A daemon that is stalled while its probes are in flight took the stall for silence of the targets: the answers were there, unread, when the timeouts of 60 ms had passed. It marked the service as unreached, or the domain as cut off, and forwarded sound requests.

Probes without an answer are conclusive only if they end within 20 ms of their timeout; otherwise the next round decides.

Not shown: a gain for a process that is short of processor time in the test itself, where targets starve too.

--- a/internal/gateway/cutoff.go
+++ b/internal/gateway/cutoff.go
@@ -57,11 +57,12 @@
 
 // verifySilentDomain checks with new connections whether a silent failure domain is
 // cut off: engines that read long prompts send no events either, but still accept
-// connections. If no dialed target responds and the streams are still silent
+// connections. If no dialed target responds in time and the streams are still silent
 // afterwards, the domain is treated as cut off.
 func (g *Gateway) verifySilentDomain(domain string) {
 	targets := g.coordinator.domainTargets(domain)
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	startedAt := time.Now()
 	var responded atomic.Bool
 	var dials sync.WaitGroup
 	for _, target := range targets[:min(verifyDials, len(targets))] {
@@ -76,7 +77,7 @@
 		g.streams.recordDomainActivity(domain)
 		return
 	}
-	if !slices.Contains(g.silentDomains(time.Now()), domain) {
+	if !endedInTime(startedAt, verifyTimeout) || !slices.Contains(g.silentDomains(time.Now()), domain) {
 		return
 	}
 	if g.coordinator.markDomainCutOff(domain) {
--- a/internal/gateway/silent_service_test.go
+++ b/internal/gateway/silent_service_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -304,3 +307,49 @@
 	ratio := l.daemons[0].daemon.coordinator.budgetPolicy.ratio
 	must.LessEq(l.t, ratio*float64(requests)+2*fewRetries, float64(arrivals-requests), must.Sprint("retries"))
 }
+
+// Probes that end late show that the daemon itself was stalled: answers may be there unread.
+func TestStallOfTheDaemonIsNotSilenceOfItsTargets(t *testing.T) {
+	const stall, rounds = 100 * time.Millisecond, 3
+	for _, stalled := range []bool{false, true} {
+		t.Run(fmt.Sprint("stalled ", stalled), func(t *testing.T) {
+			f, _, _ := prepareFixture(t, defaultRetryExtra)
+			for _, id := range []string{"c", "d", "e", "f"} {
+				target := f.addTarget("writer-"+id, "writers", true)
+				f.store.Put(platform.KindTargets, target.ID, target.Spec("writers", "south", "ready"))
+			}
+			var probes atomic.Int64
+			f.dialTarget = func(ctx context.Context, _ string) (net.Conn, error) {
+				defer probes.Add(1)
+				<-ctx.Done()
+				if stalled {
+					time.Sleep(stall)
+				}
+				return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+			}
+			f.start()
+			coordinator := f.daemon.coordinator
+			f.eventually(func() bool { return len(coordinator.serviceTargets("writers")) == 6 })
+			for _, target := range coordinator.serviceTargets("writers") {
+				defer f.daemon.streams.remove(f.daemon.streams.add(target, nil))
+			}
+			stop := make(chan time.Time)
+			var others sync.WaitGroup
+			others.Go(func() { (&linkedFleet{daemons: []*testFixture{f}}).keepDomainActive(stop) })
+			defer others.Wait()
+			defer close(stop)
+			notReached := func() bool {
+				cutOff := false
+				coordinator.do(func() { cutOff = coordinator.domains.IsCutOff("south") })
+				return coordinator.unreached("writers") && cutOff
+			}
+			if !stalled {
+				f.eventually(notReached)
+				return
+			}
+			f.eventually(func() bool { return probes.Load() >= rounds*(verifyProbes+verifyDials) })
+			must.False(t, coordinator.unreached("writers"))
+			coordinator.do(func() { must.False(t, coordinator.domains.IsCutOff("south")) })
+		})
+	}
+}
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -17,6 +17,8 @@
 const (
 	// verifyProbes is how many targets of a silent service are probed at once.
 	verifyProbes = 3
+	// maxProbeDelay is how late probes that no target answers may end.
+	maxProbeDelay = 20 * time.Millisecond
 	// reachProbes is how many targets of a service that is not reached are probed in each
 	// probeInterval.
 	reachProbes = 2
@@ -26,14 +28,15 @@
 )
 
 // verifySilentService checks with probes whether this daemon still reaches a service that is
-// silent. If this daemon itself was stalled, or the engines read long prompts, a probe is
-// answered.
+// silent. If the engines read long prompts, a probe is answered; if this daemon itself is
+// stalled, the probes end late.
 func (g *Gateway) verifySilentService(ctx context.Context, service string) {
-	if g.reachesAny(ctx, g.coordinator.sampleTargets(service, verifyProbes), verifyTimeout) {
+	answered, conclusive := g.probeAny(ctx, g.coordinator.sampleTargets(service, verifyProbes), verifyTimeout)
+	if answered {
 		g.streams.recordServiceActivity(service)
 		return
 	}
-	if slices.Contains(g.silentServices(time.Now()), service) && g.coordinator.markUnreached(service) {
+	if conclusive && slices.Contains(g.silentServices(time.Now()), service) && g.coordinator.markUnreached(service) {
 		g.handleUnreached(service, "silent")
 	}
 }
@@ -53,11 +56,12 @@
 	}
 	go func() {
 		probedAt := time.Now()
-		if g.reachesAny(context.Background(), others, verifyTimeout) {
+		answered, conclusive := g.probeAny(context.Background(), others, verifyTimeout)
+		if answered {
 			g.recordReached(target.Service, probedAt)
 			return
 		}
-		if g.coordinator.markUnreached(target.Service) {
+		if conclusive && g.coordinator.markUnreached(target.Service) {
 			g.handleUnreached(target.Service, "connections fail")
 		}
 	}()
@@ -98,7 +102,11 @@
 	for _, service := range g.coordinator.reachedServices() {
 		go func() {
 			targets := g.coordinator.sampleTargets(service, verifyProbes)
-			if len(targets) > 1 && !g.reachesAny(context.Background(), targets, exchange.DialTimeout) && g.coordinator.markUnreached(service) {
+			if len(targets) < 2 {
+				return
+			}
+			answered, conclusive := g.probeAny(context.Background(), targets, exchange.DialTimeout)
+			if !answered && conclusive && g.coordinator.markUnreached(service) {
 				g.handleUnreached(service, "other services are not reached")
 			}
 		}()
@@ -141,22 +149,36 @@
 	}
 }
 
-// reachesAny reports whether any of the targets answers a probe within the timeout. An open
-// connection alone proves nothing: what lies between may accept it.
+// reachesAny reports whether any of the targets answers a probe within the timeout.
 func (g *Gateway) reachesAny(ctx context.Context, targets []*fleet.Target, timeout time.Duration) bool {
+	answered, _ := g.probeAny(ctx, targets, timeout)
+	return answered
+}
+
+// probeAny probes targets and reports whether any of them answers within the timeout. An open
+// connection alone proves nothing: what lies between may accept it. That none answers is
+// conclusive unless this daemon itself was stalled.
+func (g *Gateway) probeAny(ctx context.Context, targets []*fleet.Target, timeout time.Duration) (answered, conclusive bool) {
+	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var answered atomic.Bool
+	var anyAnswered atomic.Bool
 	var dials sync.WaitGroup
 	for _, target := range targets {
 		dials.Go(func() {
 			if g.answersProbe(ctx, target) {
-				answered.Store(true)
+				anyAnswered.Store(true)
 			}
 		})
 	}
 	dials.Wait()
-	return answered.Load()
+	return anyAnswered.Load(), endedInTime(startedAt, timeout)
+}
+
+// endedInTime reports whether probes have ended when they were due. If not, this daemon itself
+// was stalled, and answers may have come that were not read.
+func endedInTime(startedAt time.Time, timeout time.Duration) bool {
+	return time.Since(startedAt) <= timeout+maxProbeDelay
 }
 
 // answersProbe reports whether a target answers, in any way, a request that no target runs.
