--- a/internal/gateway/silence_timer_test.go
+++ b/internal/gateway/silence_timer_test.go
@@ -68,8 +68,8 @@
 // While the caller is slow to take an event, its target is not silent.
 func TestPausedTimerDoesNotCancel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cancelled := false
-		timer := newSilenceTimer(func() bool { return true }, func() { cancelled = true })
+		var cancelled atomic.Bool // the timer sets it on another goroutine
+		timer := newSilenceTimer(func() bool { return true }, func() { cancelled.Store(true) })
 		timer.restart(time.Second)
 		timer.pause()
 		time.Sleep(time.Minute)
@@ -77,10 +77,10 @@
 		timer.restart(time.Second)
 		time.Sleep(time.Second - time.Millisecond)
 		synctest.Wait()
-		must.False(t, cancelled)
+		must.False(t, cancelled.Load())
 		time.Sleep(time.Millisecond)
 		synctest.Wait()
-		must.True(t, cancelled)
+		must.True(t, cancelled.Load())
 	})
 }
 
