An event does not wait for the rest of the next one

What callers saw: an event that came together with the beginning of the next one, held until that one was whole, here until the deadline of 1 s.

Cause: events are flushed unless more are buffered, and the beginning of an event counted as more. Buffered now reports whole events only.

In chunks it still fails: the reader of net/http waits for the whole of a chunk that has begun.

--- a/internal/gateway/broken_stream_test.go
+++ b/internal/gateway/broken_stream_test.go
@@ -245,27 +245,33 @@
 
 // A target may send an event together with the beginning of the next one, on which it then works.
 func TestEventIsForwardedBeforeTheNextOneIsComplete(t *testing.T) {
-	f, writers, _ := newFixture(t)
-	script := standin.NewScript(writers[:]...)
-	received := make(chan struct{})
-	ended := make(chan struct{})
-	script.Set("q1", standin.ScriptedAnswer{Cut: cutAfterEvents(1, 7), Then: func() {
-		select {
-		case <-received:
-		case <-ended:
-		}
-	}})
-	started := time.Now()
-	response, err := f.client.Do(f.newRequest(standin.CallerRequest{Method: "POST", Path: "/queries/1", ID: "q1", DeadlineMs: hangDeadlineMs}))
-	defer close(ended)
-	must.NoError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	event := make([]byte, len(standin.EventText(1)))
-	_, err = io.ReadFull(response.Body, event)
-	must.NoError(t, err)
-	must.Eq(t, standin.EventText(1), string(event))
-	must.Less(t, forwardTimeout, time.Since(started), must.Sprint("the event came with the end of the stream"))
-	close(received)
+	for framing, name := range []string{"chunks", "length", "connection"} {
+		t.Run(name, func(t *testing.T) {
+			f, writers, _ := newFixture(t)
+			received, ended := make(chan struct{}), make(chan struct{})
+			defer close(ended)
+			standin.NewScript(writers[:]...).Set("q1", standin.ScriptedAnswer{
+				Framing: standin.Framing(framing),
+				Cut:     cutAfterEvents(1, 7),
+				Then: func() {
+					select {
+					case <-received:
+					case <-ended:
+					}
+				},
+			})
+			started := time.Now()
+			response, err := f.client.Do(f.newRequest(standin.CallerRequest{Method: "POST", Path: "/queries/1", ID: "q1", DeadlineMs: hangDeadlineMs}))
+			must.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			event := make([]byte, len(standin.EventText(1)))
+			_, err = io.ReadFull(response.Body, event)
+			must.NoError(t, err)
+			must.Eq(t, standin.EventText(1), string(event))
+			must.Less(t, forwardTimeout, time.Since(started), must.Sprint("the event came with the end of the stream"))
+			close(received)
+		})
+	}
 }
 
 // forwardTimeout is within what an event that has arrived must reach the caller; the deadline
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,7 +81,7 @@
 }
 
 // forwardEvent sends one event to the caller, after the response headers if it is the
-// first one. It flushes only if no more events are buffered, and reports whether the
+// first one. It flushes only if no more whole events are buffered, and reports whether the
 // caller could be written to.
 func (g *Gateway) forwardEvent(req *relayedRequest, response *exchange.Answer, event events.Event, moreBuffered bool) bool {
 	g.startResponse(req, response)
--- a/internal/protocol/events/events.go
+++ b/internal/protocol/events/events.go
@@ -80,8 +80,11 @@
 	}
 }
 
-// Buffered reports whether the reader has bytes that Next has not returned yet.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
+// Buffered reports whether the reader has read a whole event that Next has not returned yet.
+func (r *Reader) Buffered() bool {
+	unread, _ := r.source.Peek(r.source.Buffered())
+	return bytes.Contains(unread, []byte("\n\n")) || bytes.Contains(unread, []byte("\n\r\n"))
+}
 
 // parseLine stores the id if the line has one, and reports whether the line completes
 // the event.
--- a/internal/protocol/events/events_test.go
+++ b/internal/protocol/events/events_test.go
@@ -84,6 +84,15 @@
 	}
 }
 
+func TestBufferedTellsWholeEventsFromBeginnings(t *testing.T) {
+	for rest, want := range map[string]bool{"": false, "id: 2\nda": false, "id: 2\ndata: b\n": false, "id: 2\ndata: b\n\n": true, "id: 2\r\n\r\n": true} {
+		reader := NewReader(strings.NewReader("id: 1\n\n" + rest))
+		_, err := reader.Next()
+		must.NoError(t, err)
+		must.Eq(t, want, reader.Buffered(), must.Sprintf("%q", rest))
+	}
+}
+
 // FuzzNext checks that the returned events, joined, are a prefix of the stream, for any
 // stream, and that each has one id or nothing but comments.
 func FuzzNext(f *testing.F) {
