--- a/internal/protocol/events/events_test.go
+++ b/internal/protocol/events/events_test.go
@@ -126,9 +126,11 @@
 		has  bool
 	}{
 		"nothing more":                     {"", false},
+		"the beginning of a line":          {"id: 2\nda", false},
 		"the beginning of the next event":  {"id: 2\ndata: b\n", false},
 		"the next event":                   {"id: 2\ndata: b\n\n", true},
 		"the next event, with CR":          {"id: 2\r\ndata: b\r\n\r\n", true},
+		"the next event, an id alone":      {"id: 2\r\n\r\n", true},
 		"the next event and a part of one": {"id: 2\n\nid: 3", true},
 	} {
 		t.Run(name, func(t *testing.T) {
