A signed 421 of a target that may have run a request is not passed on

Callers take 421 for a promise that the request has not run, as 408, 429 and 503. TestUntrueMisdirectedRequestIsNotPassedOn failed for both kinds that may run once only (review, one run), passes.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -405,7 +405,11 @@
 // promisesNotRun reports whether a status tells callers that the request has not run and never
 // will. A target may use it without saying so itself: then the request may have run.
 func promisesNotRun(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // isEventStream reports whether a response is a stream, whatever the parameters of its type.
