A stream that has no more events ends whole

Callers saw a stream with all its events aborted, when it had broken off, or its target had been silent for a pause, between the last event and the end; one who took it up after its last event got 502, and the sound targets that said so counted as broken. Cause: took each empty stream for broken off.

A framed stream without an event is whole if the target was asked for the events after one. From its start, or unframed, it still shows nothing.

TestStreamIsTakenUpAfterItsLastEvent (12 of 12 refused) and TestStreamThatBreaksOffAfterItsLastEventEndsWhole (3 of 3) failed, pass.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,8 +19,8 @@
 	// errOutOfOrder says that a stream does not go on after the event that the caller has
 	// received last: its run began elsewhere, or is none of this request.
 	errOutOfOrder = errors.New("ids of events do not increase")
-	// errNoEvents says that a stream has ended without an event. A target that stopped
-	// after its head may have closed its answer in good order.
+	// errNoEvents says that a stream has ended without an event, and does not show that there
+	// is none: a target that stopped after its head may have closed its answer in good order.
 	errNoEvents = errors.New("stream without an event")
 )
 
@@ -42,10 +42,10 @@
 		if retryable {
 			silence.restart(timing.PauseTimeout(req.route))
 		}
-		event, err := nextEvent(reader, req.lastEventID, begun)
+		event, err := nextEvent(reader, req.lastEventID, begun || response.Framed && req.lastEventID > 0)
 		silence.pause() // from here on the caller may be slow, not the target
 		if errors.Is(err, io.EOF) {
-			return g.finishStream(req)
+			return g.finishStream(req, response)
 		}
 		if err != nil {
 			flush(req) // the caller gets all received events, even if no more follow
@@ -70,11 +70,12 @@
 }
 
 // nextEvent returns the next event of a stream that goes on after an event, or comments. At the
-// end of a whole stream it returns io.EOF. Begun reports whether the stream has had an event.
-func nextEvent(reader *events.Reader, after int64, begun bool) (events.Event, error) {
+// end of a whole stream it returns io.EOF. MayEnd reports whether the stream may end here: it has
+// had an event, or its framing shows that a target that was asked for the events after one has none.
+func nextEvent(reader *events.Reader, after int64, mayEnd bool) (events.Event, error) {
 	event, err := reader.Next()
 	switch {
-	case errors.Is(err, io.EOF) && !begun:
+	case errors.Is(err, io.EOF) && !mayEnd:
 		return event, errNoEvents
 	case err == nil && event.ID != 0 && event.ID <= after:
 		return event, fmt.Errorf("%w: %d after %d", errOutOfOrder, event.ID, after)
@@ -116,8 +117,10 @@
 	req.state.RecordAnswerStarted()
 }
 
-// finishStream records a stream that the target has completed.
-func (g *Gateway) finishStream(req *relayedRequest) attempt.Outcome {
+// finishStream records a stream that the target has completed. If the caller has all events
+// already, finishStream sends the response headers.
+func (g *Gateway) finishStream(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
+	g.startResponse(req, response)
 	g.recordOutcome(req, outlier.Served, true)
 	return attempt.Answered
 }
