A daemon whose listener fails answers its requests before it ends

A failed server now ends the daemon by the planned stop, and Run returns its error. TestDaemonThatEndsByItselfAnswersItsRequests failed, passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,11 +10,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"hemlockknot/internal/coordination/brittle"
 	"hemlockknot/internal/coordination/quarantine"
 	"hemlockknot/internal/coordination/ratelimit"
@@ -143,69 +142,87 @@
 // budget is divided.
 func (g *Gateway) budgetDaemons() int { return max(minBudgetDaemons, g.peers.knownDaemons()) }
 
-// Run serves until the context ends, then shuts down gracefully. It serves
-// metrics at metricsAddress unless that is empty.
+// Run serves until the context ends, then shuts down gracefully. It serves metrics at
+// metricsAddress unless that is empty. If a listener fails, Run shuts down gracefully too, and
+// returns the failure.
 func (g *Gateway) Run(ctx context.Context, metricsAddress string) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g.coordinator.done = background.Done()
-	group, background := errgroup.WithContext(background)
-	group.Go(func() error { g.coordinator.run(background); return nil })
-	group.Go(func() error { g.pool.Run(background); return nil })
-	group.Go(func() error { g.peerPool.Run(background); return nil })
-	group.Go(func() error { g.watchSilentStreams(background); return nil })
-	group.Go(func() error { g.watchConfig(background); return nil })
-	group.Go(func() error { g.targets.watch.run(background); return nil })
-	group.Go(func() error { g.streamRecord.run(background); return nil })
-	group.Go(func() error { return serveHTTP(background, g.readyHandler(), g.readinessListener) })
-	group.Go(func() error { return g.callers.Serve(g.callerListener) })
+	work := &backgroundWork{ctx: background, failed: make(chan error, 1)}
+	work.run(g.coordinator.run)
+	work.run(g.pool.Run)
+	work.run(g.peerPool.Run)
+	work.run(g.watchSilentStreams)
+	work.run(g.watchConfig)
+	work.run(g.targets.watch.run)
+	work.run(g.streamRecord.run)
+	work.serve(func(ctx context.Context) error { return serveHTTP(ctx, g.readyHandler(), g.readinessListener) })
+	work.serve(func(context.Context) error { return g.callers.Serve(g.callerListener) })
 	if g.peerListener != nil {
-		group.Go(func() error { return mesh.Serve(background, g.peerListener, g.peers) })
-		group.Go(func() error { g.peers.run(background); return nil })
-		group.Go(func() error { g.peers.runOriginCopies(background); return nil })
+		work.serve(func(ctx context.Context) error { return mesh.Serve(ctx, g.peerListener, g.peers) })
+		work.run(g.peers.run)
+		work.run(g.peers.runOriginCopies)
 	}
 	if g.forwardListener != nil {
-		group.Go(func() error { return g.forwards.Serve(g.forwardListener) })
+		work.serve(func(context.Context) error { return g.forwards.Serve(g.forwardListener) })
 	}
 	if metricsAddress != "" {
-		g.serveMetrics(background, group, metricsAddress)
+		g.serveMetrics(work, metricsAddress)
 	}
 	g.log.Warn("started", "failure_domain", g.settings.FailureDomain,
 		"callers", g.callerListener.Addr().String(), "peers", g.peers.address)
-	stopped := make(chan struct{})
-	group.Go(func() error {
-		defer close(stopped)
-		defer cancel()
-		select {
-		case <-ctx.Done():
-			g.stop()
-		case <-background.Done():
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-work.failed:
+		g.log.Warn("a server has failed", "error", failure)
+	}
+	g.stop()
+	cancel()
+	if !work.wait(min(exitWait, time.Until(g.stopPlan.Load().ExitAt))) {
+		g.log.Warn("background work has not ended, exiting")
+	}
+	return failure
+}
+
+// backgroundWork is what a daemon does beside its planned stop.
+type backgroundWork struct {
+	ctx     context.Context
+	running sync.WaitGroup
+	failed  chan error // receives the first failure
+}
+
+// run runs a function until the context ends.
+func (w *backgroundWork) run(function func(context.Context)) {
+	w.running.Go(func() { function(w.ctx) })
+}
+
+// serve runs a server until the context ends or it fails.
+func (w *backgroundWork) serve(server func(context.Context) error) {
+	w.running.Go(func() {
+		if err := server(w.ctx); err != nil {
+			select {
+			case w.failed <- err:
+			default: // an earlier failure ends the daemon already
+			}
 		}
-		return nil
 	})
-	return g.waitForEnd(group, stopped)
 }
 
-// exitWait is how long after a stop the daemon waits for its background work to end. It
-// is less than what a shutdown.Plan leaves for it: a call to a peer that is cut off must not hold up the exit
-// until the platform kills the process.
+// exitWait is how long after a stop the daemon waits for its background work to end: a call to
+// a peer that is cut off must not hold up the exit until the platform kills the process.
 const exitWait = 200 * time.Millisecond
 
-// waitForEnd waits until the group has ended, but no longer than exitWait after the stop.
-func (g *Gateway) waitForEnd(group *errgroup.Group, stopped <-chan struct{}) error {
-	ended := make(chan error, 1)
-	go func() { ended <- group.Wait() }()
+// wait waits until all work has ended, but not longer than a time, and reports whether it has.
+func (w *backgroundWork) wait(limit time.Duration) bool {
+	ended := make(chan struct{})
+	go func() { w.running.Wait(); close(ended) }()
 	select {
-	case err := <-ended:
-		return err
-	case <-stopped:
-	}
-	select {
-	case err := <-ended:
-		return err
-	case <-time.After(exitWait):
-		g.log.Warn("background work has not ended, exiting")
-		return nil
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
 	}
 }
 
@@ -219,13 +236,13 @@
 
 // serveMetrics serves the metrics at address. If it cannot listen there, it logs
 // the error and the daemon runs without metrics.
-func (g *Gateway) serveMetrics(ctx context.Context, group *errgroup.Group, address string) {
+func (g *Gateway) serveMetrics(work *backgroundWork, address string) {
 	listener, err := listen("metrics", address)
 	if err != nil {
 		g.log.Warn("metrics are not served", "error", err)
 		return
 	}
-	group.Go(func() error { return serveHTTP(ctx, g.adminHandler(), listener) })
+	work.serve(func(ctx context.Context) error { return serveHTTP(ctx, g.adminHandler(), listener) })
 }
 
 // adminTimeout limits reading and writing of readiness checks and metrics calls.
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -103,6 +103,8 @@
 		ConnState:         s.trackConnState,
 		ConnContext:       withConn,
 		ErrorLog:          newErrorLog(observer),
+		// net/http would answer OPTIONS * with a success of its own.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
