--- a/internal/integration/caller_test.go
+++ b/internal/integration/caller_test.go
@@ -92,6 +92,12 @@
 	if err != nil {
 		return callResult{err: err}
 	}
+	return readResponse(response, onToken)
+}
+
+// readResponse reads the body of a response and calls onToken, if it is not nil, after each
+// token of a stream.
+func readResponse(response *http.Response, onToken func(int)) callResult {
 	defer func() { _ = response.Body.Close() }()
 	result := callResult{status: response.StatusCode, header: response.Header}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
