A request late in a stop of hemlockknotd is answered or refused

What callers saw: after stop_delay a whole request on a connection opened before was read, and its connection closed without a word; at the end of stop_timeout every request in progress ended with a closed connection.

Cause: http.Server.Shutdown drops what is read after its call, and http.Server.Close does not know what is in flight. The idle timeout of net/http closes connections without regard to bytes that wait unread.

The callers' server now uses httpserver, as the gateway does. It goes on reading what comes on open connections, and the handler refuses a request that came after the stop delay as stopping, not_run: a request of this interface has a deadline for its start only, so none is sure to end in time. Before the end of stop_timeout the contexts of what is left are cancelled early enough for homes to confirm it; the reason of the refusal or error event is stopping, its outcome what routing knows. A keyed call, which outlives its caller, is cut as well. shutdown.NewWithTimes plans such a stop; the gateway's plan is as before.

--- a/internal/coordination/shutdown/shutdown.go
+++ b/internal/coordination/shutdown/shutdown.go
@@ -1,5 +1,6 @@
 // Package shutdown plans a graceful stop of a daemon: until when it takes which requests, and
-// when it cuts those that still run. It is a decision without I/O or clock.
+// when it cuts those that still run. It is a decision without I/O or clock. New plans a stop with
+// the times of the users' platform, NewWithTimes one with times of the operator.
 //
 // Invariant: a request that is taken after DrainAt has its final answer before CutAt, whatever
 // its target does, as its deadline is before. So only requests that came while the platform may
@@ -19,6 +20,13 @@
 	// minCutDivisor bounds cutMargin by a part of the grace period: running requests keep
 	// the last sixth at least in part.
 	minCutDivisor = 8
+	// maxSetCutMargin is cutMargin for a stop with a set timeout: other daemons confirm within
+	// 2 s that a request is cancelled, and the result of a keyed call is stored within 1 s.
+	maxSetCutMargin = 4 * time.Second
+	// minSetCutDivisor bounds maxSetCutMargin by a part of the timeout.
+	minSetCutDivisor = 4
+	// exitDivisor is the part of the margin that is left to exit.
+	exitDivisor = 8
 	// answerSlack is how long after its deadline a request may get its answer.
 	answerSlack = 100 * time.Millisecond
 )
@@ -40,6 +48,18 @@
 	}
 }
 
+// NewWithTimes returns the plan of a stop that began at a time and ends after the timeout. All
+// requests are taken for the delay from now, if the timeout allows it.
+func NewWithTimes(began, now time.Time, delay, timeout time.Duration) Plan {
+	margin := min(maxSetCutMargin, timeout/minSetCutDivisor)
+	cutAt := began.Add(timeout - margin)
+	drainAt := now.Add(delay)
+	if drainAt.After(cutAt) {
+		drainAt = cutAt
+	}
+	return Plan{DrainAt: drainAt, CutAt: cutAt, EndAt: began.Add(timeout - margin/exitDivisor)}
+}
+
 // Takes reports whether a request that has been read whole is taken, given when it must have its
 // answer.
 func (p Plan) Takes(now, deadline time.Time) bool {
--- a/internal/coordination/shutdown/shutdown_test.go
+++ b/internal/coordination/shutdown/shutdown_test.go
@@ -41,3 +41,24 @@
 		must.True(t, plan.EndAt.Before(start.Add(grace)))
 	}
 }
+
+func TestStopWithSetTimesKeepsThem(t *testing.T) {
+	const seconds = time.Second
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, c := range map[string]struct {
+		begunFor, delay, timeout   time.Duration
+		drainAfter, cutAfter, ends time.Duration // since it began
+	}{
+		"long":                        {0, 2 * seconds, 600 * seconds, 2 * seconds, 596 * seconds, 599500 * time.Millisecond},
+		"delay begins later":          {3 * seconds, 2 * seconds, 600 * seconds, 5 * seconds, 596 * seconds, 599500 * time.Millisecond},
+		"no delay":                    {0, 0, 8 * seconds, 0, 6 * seconds, 7750 * time.Millisecond},
+		"delay longer than the stop":  {0, 60 * seconds, 8 * seconds, 6 * seconds, 6 * seconds, 7750 * time.Millisecond},
+		"the delay begins at the end": {8 * seconds, 2 * seconds, 8 * seconds, 6 * seconds, 6 * seconds, 7750 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan := NewWithTimes(began, began.Add(c.begunFor), c.delay, c.timeout)
+			must.Eq(t, []time.Duration{c.drainAfter, c.cutAfter, c.ends},
+				[]time.Duration{plan.DrainAt.Sub(began), plan.CutAt.Sub(began), plan.EndAt.Sub(began)})
+		})
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,25 +8,29 @@
 	"time"
 
 	"hemlockknot/internal/coordination/control"
+	"hemlockknot/internal/coordination/shutdown"
 )
 
 // shutdown stops the daemon gracefully. It reports not ready to the load balancer and
 // leaving to its peers, and accepts requests for the stop delay, in which they stop
-// sending new ones. It then closes the callers' listener and waits for the requests in
-// progress, first those of its callers and then those forwarded to it as a home.
+// sending new ones. It then closes the callers' listener, refuses what still comes on open
+// connections, and waits for the requests in progress, first those of its callers and then
+// those forwarded to it as a home. Shortly before the stop timeout it cuts those of its callers.
 func (d *Daemon) shutdown(operators *http.Server) error {
 	d.log.Info("stopping")
 	d.stopping.Store(true)
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.StopTimeout)
 	defer cancel()
 	defer func() { _ = operators.Close() }()
 	d.loop.Do(func(state *control.State, _ time.Time) { state.Members.MarkLeaving() })
-	d.callers.DisableKeepAlive()
+	d.callers.AnnounceStop()
 	d.broadcastState(ctx)
 	d.handOverDirectory(ctx)
-	sleep(ctx, d.settings.Limits.StopDelay)
-	if err := d.callers.Shutdown(ctx); err != nil {
-		return fmt.Errorf("finish requests in progress: %w", err)
+	plan := shutdown.NewWithTimes(began, time.Now(), d.settings.Limits.StopDelay, d.settings.Limits.StopTimeout)
+	sleep(ctx, time.Until(plan.DrainAt))
+	if cut := d.callers.Stop(plan); cut > 0 {
+		return fmt.Errorf("finish requests in progress: %d were cut", cut)
 	}
 	if err := d.home.Drain(ctx); err != nil {
 		return fmt.Errorf("finish forwarded requests in progress: %w", err)
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -118,7 +118,7 @@
 		exchange.lastAttempt = attempts[len(attempts)-1]
 	}
 	s.log.Debug("request routed", "request", exchange.id, "workspace", exchange.workspace.Name, "trace", attempts)
-	return refused
+	return cutRefusal(ctx, refused)
 }
 
 // finishAnswer completes an answer. If the request was refused after a part of the
--- a/internal/transport/caller/keyed.go
+++ b/internal/transport/caller/keyed.go
@@ -44,7 +44,11 @@
 		s.replay(exchange, sink, recorded)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(exchange.r.Context()), keyedCallTimeout)
+	ctx, cut := context.WithCancelCause(context.WithoutCancel(exchange.r.Context()))
+	endCut := cutByStop(exchange.r.Context(), cut)
+	defer endCut()
+	defer cut(nil)
+	ctx, cancel := context.WithTimeout(ctx, keyedCallTimeout)
 	defer cancel()
 	request.MayStart = handle.AllowStart
 	refused = s.route(ctx, exchange, request, sink)
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -22,11 +22,13 @@
 	"hemlockknot/internal/coordination/control"
 	"hemlockknot/internal/coordination/entry"
 	"hemlockknot/internal/coordination/route"
+	"hemlockknot/internal/coordination/shutdown"
 	"hemlockknot/internal/metrics"
 	"hemlockknot/internal/protocol/refusal"
 	"hemlockknot/internal/protocol/targetapi"
 	"hemlockknot/internal/state/environment"
 	"hemlockknot/internal/state/settings"
+	"hemlockknot/internal/transport/httpserver"
 )
 
 // Headers that callers may send or receive.
@@ -54,42 +56,51 @@
 	metrics *metrics.Metrics
 	log     *log.Logger
 	conns   sync.Map // net.Conn to *connRequest
-	http    *http.Server
+	http    *httpserver.Server
 
-	keepAliveDisabled atomic.Bool // answers carry "Connection: close"
+	stopPlan atomic.Pointer[shutdown.Plan] // nil before Stop
 }
 
+// idleTimeout is how long a connection is kept after an answer.
+const idleTimeout = time.Minute
+
 // New returns a server. Serve starts it.
 func New(loop *control.Loop, router Router, claims *claim.Manager, limits settings.Limits, counters *metrics.Metrics, logger *log.Logger) *Server {
 	server := &Server{loop: loop, router: router, claims: claims, limits: limits, metrics: counters, log: logger}
-	server.http = &http.Server{
-		Handler:           server.handler(),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		MaxHeaderBytes:    headerReadFactor * limits.HeaderBytes,
-		IdleTimeout:       time.Minute,
-		ConnContext:       server.connContext,
-		ConnState:         server.connState,
-		ErrorLog:          logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
-	}
+	server.http = httpserver.New(server.handler(), httpserver.Options{
+		IdleTimeout:    idleTimeout,
+		HeaderTimeout:  limits.HeaderTimeout,
+		MaxHeaderBytes: headerReadFactor * limits.HeaderBytes,
+		RequestID:      func(http.Header) string { return xid.New().String() },
+		ConnContext:    server.connContext,
+		ConnState:      server.connState,
+	}, observer{counters, logger})
 	return server
 }
 
-// Serve answers callers on the listener until Shutdown.
-func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
+// Serve answers callers on the listener until Stop has completed.
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
-// DisableKeepAlive makes each connection close after its current or next answer, so that
+// AnnounceStop makes each connection close after its current or next answer, so that
 // callers open new connections to other daemons. The server still serves requests.
-func (s *Server) DisableKeepAlive() { s.keepAliveDisabled.Store(true) }
+func (s *Server) AnnounceStop() { s.http.AnnounceStop() }
+
+// Stop closes the listener and waits until the requests in progress have ended. Requests
+// that come from now on are refused. At plan.CutAt it cuts the requests that still run, and
+// returns their number; they are refused, too.
+func (s *Server) Stop(plan shutdown.Plan) (cut int) {
+	s.stopPlan.Store(&plan)
+	return s.http.Stop(plan)
+}
 
-// Shutdown closes the listener and waits until the requests in progress have ended.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.DisableKeepAlive()
-	return s.http.Shutdown(ctx)
+// checkStopping refuses a request that came after the stop delay. A request has no deadline
+// for the end of its answer, so none is sure to end in time.
+func (s *Server) checkStopping(exchange *exchange) *refusal.Refusal {
+	plan := s.stopPlan.Load()
+	if plan == nil || exchange.receivedAt.Before(plan.DrainAt) {
+		return nil
+	}
+	return refusal.NotRun(refusal.Stopping, stoppingRetryAfter, "the daemon is stopping")
 }
 
 func (s *Server) handler() http.Handler {
@@ -123,16 +134,16 @@
 }
 
 // handle wraps a handler with the checks that apply to all requests: the size of the
-// header, a document in force, and a known workspace. It also gives the request an id
-// and writes the handler's refusal.
+// header, a daemon that is not stopping, a document in force, and a known workspace. It
+// also writes the handler's refusal.
 func (s *Server) handle(handler func(*exchange) *refusal.Refusal) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		markHandlerCalled(r)
-		if s.keepAliveDisabled.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		exchange := &exchange{id: xid.New().String(), receivedAt: time.Now(), w: w, r: r, snapshot: s.loop.Snapshot()}
+		exchange := &exchange{id: httpserver.RequestID(r.Context()), receivedAt: time.Now(), w: w, r: r, snapshot: s.loop.Snapshot()}
 		refused := s.checkHeaderSize(exchange)
+		if refused == nil {
+			refused = s.checkStopping(exchange)
+		}
 		if refused == nil {
 			refused = s.authenticate(exchange)
 		}
@@ -197,6 +208,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		exchange.w.Header().Set("Connection", "close") // the rest of the body is not read
 		return nil, refusal.NotRun(refusal.BodyTooLarge, 0, "the body has more than %d bytes", tooLarge.Limit)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/transport/httpserver/request.go
+++ b/internal/transport/httpserver/request.go
@@ -33,10 +33,21 @@
 		defer s.end(request)
 		response := &trackedResponse{ResponseWriter: w, server: s, request: r}
 		defer s.checkEnd(request, response)
-		handler.ServeHTTP(response, r.WithContext(ctx))
+		handler.ServeHTTP(response, r.WithContext(context.WithValue(ctx, requestKey{}, request)))
 	})
 }
 
+// requestKey is the key of a request's *requestInFlight in its context.
+type requestKey struct{}
+
+// RequestID returns the id of the request that has the context, or "".
+func RequestID(ctx context.Context) string {
+	if request, ok := ctx.Value(requestKey{}).(*requestInFlight); ok {
+		return request.id
+	}
+	return ""
+}
+
 // begin records that the handler of a request starts.
 func (s *Server) begin(request *requestInFlight) {
 	s.mu.Lock()
@@ -152,7 +163,10 @@
 // connKey is the key of a request's *callerConn in its context.
 type connKey struct{}
 
-func withConn(ctx context.Context, conn net.Conn) context.Context {
+func (s *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if s.options.ConnContext != nil {
+		ctx = s.options.ConnContext(ctx, conn)
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -15,6 +15,7 @@
 package httpserver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"maps"
@@ -46,8 +47,11 @@
 	IdleTimeout    time.Duration // of a connection, until SetIdleTimeout is called
 	HeaderTimeout  time.Duration // from the first byte of a request's header to its last
 	MaxHeaderBytes int
-	// RequestID returns the id of a request, for the observer.
+	// RequestID returns the id of a request, for the observer and for RequestID.
 	RequestID func(http.Header) string
+	// ConnState and ConnContext are those of http.Server. They may be nil.
+	ConnState   func(net.Conn, http.ConnState)
+	ConnContext func(context.Context, net.Conn) context.Context
 }
 
 // Observer is told what callers may ask about. Its methods must not block.
@@ -101,7 +105,7 @@
 		ReadHeaderTimeout: options.HeaderTimeout,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 		ConnState:         s.trackConnState,
-		ConnContext:       withConn,
+		ConnContext:       s.connContext,
 		ErrorLog:          newErrorLog(observer),
 	}
 	return s
@@ -211,6 +215,9 @@
 func (s *Server) trackConnState(conn net.Conn, state http.ConnState) {
 	caller := conn.(*callerConn) // of wrapConn
 	caller.setState(state)
+	if s.options.ConnState != nil {
+		s.options.ConnState(conn, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
