A handler of hemlockknotd that panics refuses its request

What callers saw: a closed connection; a stream broke off without an error event. The log had a stack as plain text.

Cause: net/http closes the connection under a handler that panics.

The wrapper of all handlers recovers, logs the panic with the request's id, and writes the typed refusal internal, outcome unknown, or for a stream that has begun the error event. A whole answer of which a part has been written is still broken off.

--- a/internal/transport/caller/ends.go
+++ b/internal/transport/caller/ends.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -41,6 +43,27 @@
 	})
 }
 
+// refusePanicked refuses a request whose handler has panicked. A stream that has begun ends
+// with an error event.
+func (s *Server) refusePanicked(exchange *exchange) {
+	recovered := recover()
+	if recovered == nil {
+		return
+	}
+	begun := exchange.sink != nil && exchange.sink.headWritten
+	if recovered == http.ErrAbortHandler || begun && exchange.w.Header().Get(headerContentLength) != "" {
+		panic(recovered)
+	}
+	s.log.Error("handler of a request panicked", "request", exchange.id, "panic", recovered, "stack", string(debug.Stack()))
+	refused := refusal.Unknown(refusal.Internal, "a fault of the daemon")
+	if begun {
+		_ = s.finishAnswer(exchange, exchange.sink, refused) // writes the refusal
+		return
+	}
+	exchange.w.Header().Del(headerContentLength)
+	s.writeRefusal(exchange, refused)
+}
+
 // observer logs what the HTTP server reports.
 type observer struct {
 	metrics *metrics.Metrics
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -131,6 +131,7 @@
 	snapshot    *control.Snapshot
 	workspace   *environment.Workspace
 	lastAttempt route.AttemptResult // zero before the first attempt
+	sink        *sink               // nil before the request is routed
 }
 
 // handle wraps a handler with the checks that apply to all requests: the size of the
@@ -140,6 +141,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		markHandlerCalled(r)
 		exchange := &exchange{id: httpserver.RequestID(r.Context()), receivedAt: time.Now(), w: w, r: r, snapshot: s.loop.Snapshot()}
+		defer s.refusePanicked(exchange)
 		refused := s.checkHeaderSize(exchange)
 		if refused == nil {
 			refused = s.checkStopping(exchange)
--- a/internal/transport/caller/sink.go
+++ b/internal/transport/caller/sink.go
@@ -24,12 +24,17 @@
 	headWritten  bool // the header was sent, so a refusal can no longer replace the answer
 }
 
+// headerContentLength is set for an answer that is not a stream.
+const headerContentLength = "Content-Length"
+
+// newSink returns the sink of a request.
 func newSink(exchange *exchange, writeTimeout time.Duration) *sink {
-	return &sink{
+	exchange.sink = &sink{
 		exchange:     exchange,
 		controller:   http.NewResponseController(exchange.w),
 		writeTimeout: writeTimeout,
 	}
+	return exchange.sink
 }
 
 // Started implements entry.Sink.
@@ -66,7 +71,7 @@
 	if s.headWritten {
 		return
 	}
-	s.exchange.w.Header().Set("Content-Length", fmt.Sprint(len(s.body)))
+	s.exchange.w.Header().Set(headerContentLength, fmt.Sprint(len(s.body)))
 	s.writeHead()
 	_ = s.write(s.body)
 }
@@ -78,7 +83,6 @@
 }
 
 func (s *sink) writeHead() {
-	s.headWritten = true
 	header := s.exchange.w.Header()
 	for _, field := range s.headers {
 		header.Add(field.GetName(), field.GetValue())
@@ -88,6 +92,7 @@
 		header.Set(HeaderEngine, s.engine)
 	}
 	s.exchange.w.WriteHeader(s.status)
+	s.headWritten = true
 }
 
 // write sends bytes to the caller at once. It fails if the caller does not read them
