Bodies of forwarded requests end with the stop; what a caller could not be sent is not delivered

Both by reading of the review: a half-sent body of a forwarded request held a stop up to its end, and an answer that could not be written was logged as delivered. No test of its own shows the first; the tables of stops still pass.

--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -67,10 +67,12 @@
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "peer_busy"}, forward.Unreached, 0)
 		return
 	}
+	endLimit := limitBodyTime(req)
 	if req.body, err = req.buffers.readAll(r.Body, maxForwardedBody); err != nil {
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "no_buffer_space"}, forward.Unreached, 0)
 		return
 	}
+	endLimit()
 	g.coordinator.waitForTargets(r.Context(), startupWait)
 	g.relayForwarded(req)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -154,17 +154,12 @@
 	if req.r.ContentLength == 0 {
 		return true
 	}
-	// A caller that sends its body a byte at a time must not hold the request beyond
-	// its deadline.
-	controller := http.NewResponseController(req.w)
-	_ = controller.SetReadDeadline(req.deadline) // fails only if the connection is closed
-	// A body of which nothing comes must not hold the request beyond a stop either.
-	defer context.AfterFunc(req.r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })()
+	endLimit := limitBodyTime(req)
 	body, err := req.buffers.readAll(http.MaxBytesReader(req.w, req.r.Body, limit), int(limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		_ = controller.SetReadDeadline(time.Time{})
+		endLimit()
 		req.body = body
 		return true
 	case errors.As(err, &tooLarge):
@@ -185,6 +180,20 @@
 	return false
 }
 
+// limitBodyTime ends the reading of a request's body at its deadline, or once the request must
+// not go on: a caller that sends its body a byte at a time must hold up neither the request nor
+// a stop. The returned function ends the limit.
+func limitBodyTime(req *callerRequest) (endLimit func()) {
+	controller := http.NewResponseController(req.w)
+	_ = controller.SetReadDeadline(req.deadline) // fails only if the connection is closed
+	stop := context.AfterFunc(req.r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	return func() {
+		if stop() {
+			_ = controller.SetReadDeadline(time.Time{})
+		}
+	}
+}
+
 // reject responds to an invalid request, which would fail again if it were retried.
 func (g *Gateway) reject(req *callerRequest, status int, reason, text string) {
 	g.metrics.countRefusal(reason)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -22,7 +22,9 @@
 	req.describeForwarded(req.w.Header())
 	req.firstByteAt = time.Now()
 	req.w.WriteHeader(response.status)
-	_, _ = req.w.Write(response.body)
+	if _, err := req.w.Write(response.body); err != nil {
+		req.unwritable = true
+	}
 }
 
 // copyHeader copies the headers of a response. If the target sent no Content-Type,
@@ -121,7 +123,7 @@
 	if !req.firstByteAt.IsZero() {
 		firstByte = req.firstByteAt.Sub(req.arrived)
 	}
-	if req.ended() && req.endReason() == reasonCallerLeft && result != "delivered" {
+	if req.unwritable || result != "delivered" && req.ended() && req.endReason() == reasonCallerLeft {
 		result = reasonCallerLeft
 	}
 	g.metrics.countRequest(result, firstByte)
