Soak: callers check how each request and idle connection ends

Callers use their own sockets now. A request that was sent whole ends with a whole response; a missing one is excused only by SIGKILL, by a close that crosses the request (by what the daemon's kernel acknowledged), or by the caller's half close. A response that breaks off is excused by its target, a path or a deadline. A success bears a target's signature, nothing follows it, and a connection is not closed within four fifths of the idle timeout that held at its last answer.

Callers keep using connections until the process is gone, leave them idle or unused, send requests in two parts and close their sending half at times.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -23,6 +22,20 @@
 	status       int  // 0: no response
 	complete     bool // the response body was read to its end
 	responseBody string
+	signer       string // target that signed the response
+
+	process         *incarnation
+	sentAt, endedAt time.Time
+	sent            bool          // whole, on an open connection
+	tornFor         time.Duration // pause in the middle of the request
+	halfClosed      bool          // the caller closed its sending half
+	crossed         bool          // the daemon's close of an idle connection and the request crossed
+	surplus         bool          // more bytes came after the response
+	err             error         // with which the response ended
+	killed          bool          // the process was killed
+	// disturbed is set if a fault meanwhile may break an answer that has begun.
+	disturbed bool
+
 	// versions are the software versions that the events of the stream name, those that the
 	// caller's earlier requests for it brought included.
 	versions []string
@@ -56,92 +69,208 @@
 	maxTakeUps = 2
 )
 
-// caller sends one request at a time on persistent connections.
+// Figures of callers.
+const (
+	// connsPerProcess is how many connections to a process a caller keeps.
+	connsPerProcess = 3
+	// halfCloseInterval is the number of requests of which one is sent by a caller that closes
+	// its sending half.
+	halfCloseInterval = 50
+	// tornInterval is the number of requests of which one is sent in two parts, at most
+	// maxTornFor apart; callers that pause send more of these.
+	tornInterval        = 30
+	pausingTornInterval = 3
+	maxTornFor          = 1500 * time.Millisecond
+	// unusedInterval is the number of new connections of which one is left unused at first.
+	unusedInterval = 2
+)
+
+// caller sends one request at a time on persistent connections. It uses those to a process
+// until the process is gone.
 type caller struct {
 	number  int
 	random  *rand.Rand
 	daemons []*daemon
-	client  *http.Client
+	conns   map[*incarnation][]*callerConn
+	// pausing makes it leave a connection idle for a while after each request.
+	pausing bool
 
-	mu        sync.Mutex
-	exchanges []callerExchange
+	mu         sync.Mutex
+	exchanges  []callerExchange
+	violations []string
 }
 
 func newCaller(number int, seed uint64, daemons []*daemon) *caller {
 	return &caller{
 		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), daemons: daemons,
-		client: &http.Client{Transport: &http.Transport{}, Timeout: requestDeadline + time.Second},
+		conns: make(map[*incarnation][]*callerConn),
 	}
 }
 
-// run sends random requests to random daemons until the context ends.
+// run sends random requests to random processes until the context ends.
 func (c *caller) run(ctx context.Context) {
-	defer c.client.CloseIdleConnections()
+	defer c.closeAll()
 	for n := 0; ctx.Err() == nil; n++ {
-		address := c.daemons[c.random.IntN(len(c.daemons))].currentCallerAddress()
-		if address != "" {
+		if process := c.randomProcess(); process != nil {
 			kind := requestKinds[c.random.IntN(len(requestKinds))]
-			c.takeUp(kind, c.send(address, kind, fmt.Sprintf("%d-%d", c.number, n)))
+			c.takeUp(kind, c.send(process, kind, fmt.Sprintf("%d-%d", c.number, n)))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.pause()):
+		}
+	}
+}
+
+// pause returns how long the caller waits before the next request.
+func (c *caller) pause() time.Duration {
+	if !c.pausing {
+		return requestInterval
+	}
+	return time.Duration(c.random.Float64() * idleShare * float64(idleTimeouts[c.random.IntN(len(idleTimeouts))]))
+}
+
+// randomProcess returns a process that callers may connect to, or to which this one has open
+// connections; nil if there is none. A caller that pauses uses one daemon.
+func (c *caller) randomProcess() *incarnation {
+	daemon := c.daemons[c.random.IntN(len(c.daemons))]
+	if c.pausing {
+		daemon = c.daemons[c.number%len(c.daemons)]
+	}
+	processes := []*incarnation{daemon.currentProcess()}
+	for process := range c.conns {
+		if process.daemon == daemon && process != processes[0] {
+			processes = append(processes, process)
 		}
-		time.Sleep(requestInterval)
 	}
+	process := processes[c.random.IntN(len(processes))]
+	if process.address() == "" && len(c.conns[process]) == 0 {
+		return nil
+	}
+	return process
+}
+
+// takeConn returns an open connection to a process, a new one at times; nil if there is none.
+func (c *caller) takeConn(process *incarnation) *callerConn {
+	for len(c.conns[process]) > 0 {
+		kept := c.conns[process]
+		if len(kept) < c.maxConns() && process.address() != "" && c.random.IntN(2) == 0 {
+			break
+		}
+		i := c.random.IntN(len(kept))
+		taken := kept[i]
+		c.conns[process] = slices.Delete(kept, i, i+1)
+		switch taken.state() {
+		case connUsable:
+			return taken
+		case connClosedEarly:
+			c.addViolation(fmt.Sprintf("%s closed a connection that was idle for %s at most, though its idle timeout was %s",
+				process.daemon.name, time.Since(taken.answeredAt), process.idleLimitDuring(taken.sentAt, taken.answeredAt)))
+		case connSpoilt:
+			c.addViolation(process.daemon.name + " sent bytes that answer no request")
+		}
+		_ = taken.Close()
+	}
+	if len(c.conns[process]) == 0 {
+		delete(c.conns, process)
+	}
+	if process.address() == "" {
+		return nil
+	}
+	conn, err := dialProcess(process)
+	if err != nil {
+		return nil
+	}
+	if c.pausing && c.random.IntN(unusedInterval) == 0 {
+		time.Sleep(time.Duration(c.random.Int64N(int64(maxUnused))))
+	}
+	return conn
+}
+
+func (c *caller) maxConns() int {
+	if c.pausing {
+		return 1
+	}
+	return connsPerProcess
+}
+
+func (c *caller) addViolation(text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, text)
+}
+
+// closeAll closes all connections.
+func (c *caller) closeAll() {
+	for _, conns := range c.conns {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+	clear(c.conns)
 }
 
 // takeUp takes a stream that broke after some events up at random daemons.
 func (c *caller) takeUp(kind requestKind, broken callerExchange) {
 	first := broken
 	for n := range maxTakeUps {
-		address := c.daemons[c.random.IntN(len(c.daemons))].currentCallerAddress()
-		if !kind.repeatable || broken.complete || broken.received == 0 || address == "" {
+		if !kind.repeatable || broken.complete || broken.received == 0 {
+			return
+		}
+		process := c.randomProcess()
+		if process == nil {
 			return
 		}
 		next := callerExchange{
 			id: fmt.Sprint(first.id, "-again-", n), path: kind.path, body: first.body, repeatable: true, stream: true,
 			resumes: first.id, receivedBefore: broken.received, received: broken.received, versions: broken.versions,
 		}
-		c.exchange(address, &next, "")
+		c.exchange(process, &next, "")
 		broken = next
 	}
 }
 
 // send sends a request, and records and returns the exchange.
-func (c *caller) send(address string, kind requestKind, id string) callerExchange {
+func (c *caller) send(process *incarnation, kind requestKind, id string) callerExchange {
 	exchange := callerExchange{id: id, path: kind.path, body: "order " + id, repeatable: kind.repeatable, stream: kind.stream}
 	if kind.body != "" {
 		exchange.body = kind.body
 	}
-	c.exchange(address, &exchange, kind.sharedParts)
+	exchange.halfClosed = c.random.IntN(halfCloseInterval) == 0
+	interval := tornInterval
+	if c.pausing {
+		interval = pausingTornInterval
+	}
+	if c.random.IntN(interval) == 0 {
+		exchange.tornFor = time.Duration(c.random.Int64N(int64(maxTornFor)))
+	}
+	c.exchange(process, &exchange, kind.sharedParts)
 	return exchange
 }
 
 // exchange sends a request with shared parts of the prompt, those of the stand-in if empty,
 // and records the exchange.
-func (c *caller) exchange(address string, exchange *callerExchange, sharedParts string) {
+func (c *caller) exchange(process *incarnation, exchange *callerExchange, sharedParts string) {
 	call := standin.CallerRequest{
 		Method: http.MethodPost, Path: exchange.path, ID: exchange.id, Body: exchange.body, SharedParts: sharedParts,
 		Resumes: exchange.resumes, LastEventID: exchange.receivedBefore,
 	}
-	if httpRequest, err := standin.NewRequest(context.Background(), address, call); err == nil {
-		c.roundTrip(exchange, httpRequest)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.exchanges = append(c.exchanges, *exchange)
-}
-
-// roundTrip sends the HTTP request and stores the response in the exchange.
-func (c *caller) roundTrip(exchange *callerExchange, httpRequest *http.Request) {
-	response, err := c.client.Do(httpRequest)
-	if err != nil {
+	conn := c.takeConn(process)
+	if conn == nil {
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	exchange.status = response.StatusCode
-	content, err := io.ReadAll(response.Body)
-	exchange.responseBody, exchange.complete = string(content), err == nil
+	request, err := standin.NewRequest(context.Background(), conn.RemoteAddr().String(), call)
+	if err == nil && conn.roundTrip(exchange, request) {
+		c.conns[process] = append(c.conns[process], conn)
+	} else {
+		_ = conn.Close()
+	}
 	if exchange.stream && exchange.status == http.StatusOK {
 		exchange.recordEvents()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchanges = append(c.exchanges, *exchange)
 }
 
 // recordEvents takes the versions out of the events that came, and counts the complete ones.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -39,6 +39,15 @@
 	{"daemons reach no target", (*soakRun).cutOffDaemons},
 	{"all daemons are killed at once", (*soakRun).killAllDaemons},
 	{"plain targets are brittle", (*soakRun).makeBrittle},
+	{"all targets of a service are silent", (*soakRun).silenceService},
+}
+
+// plannedWork is what operators do in an ordinary day. It goes on beside the faults, one at a
+// time.
+var plannedWork = []fault{
+	{"a daemon is stopped while targets are slow", (*soakRun).stopWhileTargetsAreSlow},
+	{"the idle timeout changes", (*soakRun).changeIdleTimeout},
+	{"the configuration changes several times a second", (*soakRun).publishDocuments},
 }
 
 // Range of the duration of a fault. The pause between two faults and the pause before
@@ -59,6 +68,9 @@
 	defer s.daemonDownMu.Unlock()
 	defer s.recordDisturbance()
 	daemon := s.randomDaemon()
+	if signal == syscall.SIGKILL || daemon.currentProcess().grace < requestDeadline {
+		defer s.disturb()() // requests that it forwards for others end with it
+	}
 	if !daemon.stop(signal) {
 		s.addViolation(daemon.name + " did not exit within the stop timeout")
 	}
@@ -72,6 +84,7 @@
 	s.daemonDownMu.Lock()
 	defer s.daemonDownMu.Unlock()
 	defer s.recordDisturbance()
+	defer s.disturb()()
 	for _, daemon := range s.daemons {
 		daemon.kill()
 	}
@@ -97,14 +110,7 @@
 func (s *soakRun) makeBrittle() {
 	s.brittleMu.Lock() // another such fault would replace the room of the targets
 	defer s.brittleMu.Unlock()
-	s.mu.Lock()
-	var brittle []*target
-	for _, target := range s.liveTargets {
-		if target.service == deskService {
-			brittle = append(brittle, target)
-		}
-	}
-	s.mu.Unlock()
+	brittle := s.targetsOf(deskService)
 	startedAt := time.Now()
 	for _, target := range brittle {
 		target.SetBrittle(brittleRejections, brittleRoom, 1+s.randomInt(brittleRoom), spreadTimeout, brittleWork)
@@ -128,7 +134,7 @@
 			peerAddresses = append(peerAddresses, other.currentPeerAddress())
 		}
 	}
-	daemon.start(s.t, peerAddresses...)
+	daemon.start(s.t, []time.Duration{standin.ShortGrace, standin.UsersGrace}[s.randomInt(2)], peerAddresses...)
 }
 
 // suspendDaemon suspends a random daemon's process for a while.
@@ -136,6 +142,7 @@
 	s.daemonDownMu.Lock() // restartDaemon must not stop a suspended process: it would not exit
 	defer s.daemonDownMu.Unlock()
 	defer s.recordDisturbance()
+	defer s.disturb()()
 	daemon := s.randomDaemon()
 	daemon.signal(syscall.SIGSTOP)
 	time.Sleep(s.randomFaultDuration())
@@ -211,20 +218,6 @@
 	s.drainTarget()
 }
 
-// publishDocument writes the next version of the configuration to the store. The
-// number of routes changes with the version.
-func (s *soakRun) publishDocument() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.documentVersion++
-	s.writeDocument()
-}
-
-// writeDocument writes the newest version of the configuration. The caller holds mu.
-func (s *soakRun) writeDocument() {
-	s.store.Put(platform.KindDocument, platform.DocumentName, standin.DocumentWithExtraRoutes(s.documentVersion, standin.WorkspaceKey, s.documentVersion%50))
-}
-
 // addViolation records a violation of an invariant.
 func (s *soakRun) addViolation(text string) {
 	s.mu.Lock()
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 
 	"hemlockknot/platform/standin"
@@ -49,6 +50,15 @@
 	if exchange.status >= http.StatusBadRequest && exchange.status < http.StatusInternalServerError {
 		violations = append(violations, "rejected as invalid, though it is valid")
 	}
+	if exchange.status == http.StatusOK && exchange.complete && exchange.signer == "" {
+		violations = append(violations, "a success without the signature of a target")
+	}
+	if exchange.surplus {
+		violations = append(violations, "more bytes followed the response")
+	}
+	if violation := checkEnd(exchange, runs); violation != "" {
+		violations = append(violations, violation)
+	}
 	if len(exchange.versions) > 1 {
 		violations = append(violations, fmt.Sprintf("the stream has events of the software versions %v", exchange.versions))
 	}
@@ -63,6 +73,25 @@
 	return violations
 }
 
+// checkEnd returns what is wrong with the end of an exchange, given all runs of its request;
+// empty if nothing is. A request that was sent whole gets a whole response. Faults of targets
+// and paths excuse a response that breaks off, but not a missing one: the daemon can say what
+// happened. A caller that closes its sending half may be taken for one that has left.
+func checkEnd(exchange callerExchange, runs []*standin.Execution) string {
+	if !exchange.sent || exchange.complete || exchange.killed || exchange.crossed || exchange.halfClosed {
+		return ""
+	}
+	took := exchange.endedAt.Sub(exchange.sentAt)
+	if exchange.status == 0 {
+		return fmt.Sprintf("got neither an answer nor a refusal in %s (%d runs): %v", took, len(runs), exchange.err)
+	}
+	brokenByTarget := slices.ContainsFunc(runs, func(run *standin.Execution) bool { return run.BrokenOff.Load() })
+	if exchange.disturbed || brokenByTarget || took >= requestDeadline {
+		return ""
+	}
+	return fmt.Sprintf("the response broke off after %s, though no target broke it off: %v", took, exchange.err)
+}
+
 // wantResponseBody returns the body that the target's response must have.
 func wantResponseBody(exchange callerExchange) string {
 	if exchange.stream {
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -167,42 +166,27 @@
 // ownerOf returns the daemon whose process holds the other end of a connection, nil if none
 // does.
 func ownerOf(conn net.Conn, daemons []*daemon) *daemon {
-	remote, local := conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port
-	inode := socketInode(remote, local)
+	inode, err := socketInode(conn.RemoteAddr().(*net.TCPAddr), conn.LocalAddr().(*net.TCPAddr))
+	if err != nil {
+		return nil // its owner has closed it
+	}
 	for _, daemon := range daemons {
-		if inode != "" && holdsSocket(daemon.pid(), inode) {
+		if holdsSocket(daemon.pid(), inode) {
 			return daemon
 		}
 	}
 	return nil
 }
 
-// socketInode returns the inode of the loopback socket between two ports, "" if there is none.
-func socketInode(local, remote int) string {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	for line := range strings.Lines(string(table)) {
-		const localField, remoteField, inodeField = 1, 2, 9 // as proc(5) names them
-		fields := strings.Fields(line)
-		if len(fields) > inodeField && strings.HasSuffix(fields[localField], fmt.Sprintf(":%04X", local)) &&
-			strings.HasSuffix(fields[remoteField], fmt.Sprintf(":%04X", remote)) {
-			return fields[inodeField]
-		}
-	}
-	return ""
-}
-
 // holdsSocket reports whether a process has a socket open.
-func holdsSocket(pid int, inode string) bool {
+func holdsSocket(pid int, inode uint32) bool {
 	dir := fmt.Sprintf("/proc/%d/fd/", pid)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return false
 	}
 	for _, entry := range entries {
-		if name, err := os.Readlink(dir + entry.Name()); err == nil && name == "socket:["+inode+"]" {
+		if name, err := os.Readlink(dir + entry.Name()); err == nil && name == fmt.Sprintf("socket:[%d]", inode) {
 			return true
 		}
 	}
@@ -214,6 +198,7 @@
 	s.cutMu.Lock() // the end of one cut would end another one
 	defer s.cutMu.Unlock()
 	defer s.recordDisturbance()
+	defer s.disturb()()
 	cut := s.daemons[:1+s.randomInt(len(s.daemons))]
 	s.links.set(cut, []linkState{linkResets, linkMute, linkRefusesNew}[s.randomInt(3)])
 	time.Sleep(s.randomFaultDuration())
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -31,35 +32,36 @@
 	name         string
 	storeAddress string
 	settingsPath string
+	limits       *idleLimits
 
 	mu              sync.Mutex
 	cmd             *exec.Cmd
-	callerAddress   string // empty until the process logs it
-	peerAddress     string // for other daemons; empty until the process logs it
+	current         *incarnation // nil before the first start
+	peerAddress     string       // for other daemons; empty until the process logs it
 	logLines        []string
 	exited          chan struct{}
 	stopping        bool     // SIGTERM or SIGKILL was sent
 	unexpectedExits []string // descriptions of exits without SIGTERM or SIGKILL
 }
 
-func newDaemon(t *testing.T, name, storeAddress string) *daemon {
-	return &daemon{name: name, storeAddress: storeAddress, settingsPath: filepath.Join(t.TempDir(), name+".conf")}
+func newDaemon(t *testing.T, name, storeAddress string, limits *idleLimits) *daemon {
+	return &daemon{name: name, storeAddress: storeAddress, limits: limits, settingsPath: filepath.Join(t.TempDir(), name+".conf")}
 }
 
-// start starts the process with the given seed peers. The process listens on new ports
-// at each start, and its addresses are known once it has logged that it started.
-func (d *daemon) start(t *testing.T, peerAddresses ...string) {
+// start starts the process with the given grace period and seed peers. The process listens on
+// new ports at each start, and its addresses are known once it has logged that it started.
+func (d *daemon) start(t *testing.T, grace time.Duration, peerAddresses ...string) {
 	binary, err := buildDaemon()
 	must.NoError(t, err)
-	must.NoError(t, standin.WriteSettings(d.settingsPath, d.name, d.storeAddress, peerAddresses...))
+	must.NoError(t, standin.WriteSettingsWithGrace(d.settingsPath, d.name, d.storeAddress, grace, peerAddresses...))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stopping = false
-	must.NoError(t, d.launch(binary))
+	must.NoError(t, d.launch(binary, grace))
 }
 
 // launch starts the process. The caller holds mu.
-func (d *daemon) launch(binary string) error {
+func (d *daemon) launch(binary string, grace time.Duration) error {
 	cmd := exec.Command(binary, "run", "--settings", d.settingsPath)
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
@@ -68,11 +70,12 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	d.cmd, d.callerAddress, d.peerAddress, d.exited = cmd, "", "", make(chan struct{})
+	process := &incarnation{daemon: d, limits: d.limits, grace: grace}
+	d.cmd, d.current, d.peerAddress, d.exited = cmd, process, "", make(chan struct{})
 	exited := d.exited
 	go func() {
 		defer close(exited)
-		d.readLog(bufio.NewScanner(stdout))
+		d.readLog(process, bufio.NewScanner(stdout))
 		d.recordExit(binary, cmd.Wait())
 	}()
 	return nil
@@ -87,8 +90,8 @@
 	if d.stopping {
 		return
 	}
-	if d.callerAddress == "" && endedBySIGHUP(err) {
-		if err = d.launch(binary); err == nil {
+	if d.current.address() == "" && endedBySIGHUP(err) {
+		if err = d.launch(binary, d.current.grace); err == nil {
 			return
 		}
 	}
@@ -111,30 +114,50 @@
 	return err.Error()
 }
 
-// readLog stores the process's log lines, and its addresses from the line "started".
-func (d *daemon) readLog(scanner *bufio.Scanner) {
+// readLog stores the process's log lines, its addresses from the line "started", and which
+// configuration it uses.
+func (d *daemon) readLog(process *incarnation, scanner *bufio.Scanner) {
 	for scanner.Scan() {
-		var line struct{ Msg, Callers, Peers string }
+		var line struct {
+			Msg, Callers, Peers string
+			Time                time.Time
+			Version             json.RawMessage // of the configuration in one line, other things in others
+		}
 		if json.Unmarshal(scanner.Bytes(), &line) != nil {
 			continue
 		}
+		switch line.Msg {
+		case "started":
+			process.setCallerAddress(line.Callers)
+			d.setPeerAddress(line.Peers)
+		case "configuration in force":
+			if version, err := strconv.Atoi(string(line.Version)); err == nil {
+				process.recordDocument(version, line.Time)
+			}
+		}
 		d.mu.Lock()
 		d.logLines = append(d.logLines, scanner.Text())
-		if line.Msg == "started" {
-			d.callerAddress, d.peerAddress = line.Callers, line.Peers
-		}
 		d.mu.Unlock()
 	}
 }
 
-// currentCallerAddress returns the address for callers. It is empty from a start until
-// the process has logged its addresses.
-func (d *daemon) currentCallerAddress() string {
+func (d *daemon) setPeerAddress(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peerAddress = address
+}
+
+// currentProcess returns the newest process.
+func (d *daemon) currentProcess() *incarnation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.callerAddress
+	return d.current
 }
 
+// currentCallerAddress returns the address for callers. It is empty from a start until
+// the process has logged its addresses.
+func (d *daemon) currentCallerAddress() string { return d.currentProcess().address() }
+
 // currentPeerAddress returns the address for other daemons. It is empty as long as that for
 // callers.
 func (d *daemon) currentPeerAddress() string {
@@ -163,6 +186,7 @@
 	defer d.mu.Unlock()
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
 		d.stopping = true
+		d.current.recordSignal(signal)
 	}
 	_ = d.cmd.Process.Signal(signal) // fails if the process has already exited
 	return d.exited
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,7 @@
 const (
 	daemonCount       = 3
 	callerCount       = 12
+	pausingCallers    = 12 // further ones, which leave connections idle
 	targetsPerService = 3
 	concurrentFaults  = 3
 )
@@ -77,26 +78,30 @@
 	callers      []*caller
 	daemonDownMu sync.Mutex // held while a fault keeps a daemon down or suspended
 	brittleMu    sync.Mutex // held while a fault makes targets brittle
+	slowMu       sync.Mutex // held while a fault makes targets slow
 	cutMu        sync.Mutex // held while a fault cuts daemons off from the targets
 	links        *targetLinks
 
-	mu              sync.Mutex
-	random          *rand.Rand
-	targets         []*target // including crashed and drained ones
-	liveTargets     []*target // those that faults may choose
-	documentVersion int
-	violations      []string
-	disturbedAt     time.Time        // when a daemon was last down or suspended
-	fatalNames      int              // names of fatal causes given out
-	armed           []fatalCause     // on which targets crash at present
-	limited         map[*target]bool // targets that a fault makes name a limit
-	releases        int              // of the engines' software
+	mu           sync.Mutex
+	random       *rand.Rand
+	targets      []*target // including crashed and drained ones
+	liveTargets  []*target // those that faults may choose
+	document     documentSettings
+	idleLimits   *idleLimits
+	violations   []string
+	disturbedAt  time.Time        // when a daemon was last down or suspended
+	disturbances []disturbance    // that may break answers that have begun
+	fatalNames   int              // names of fatal causes given out
+	armed        []fatalCause     // on which targets crash at present
+	limited      map[*target]bool // targets that a fault makes name a limit
+	releases     int              // of the engines' software
 }
 
 // startSoakRun starts the fleet and waits until every daemon has started.
 func startSoakRun(t *testing.T, seed uint64) *soakRun {
-	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0)), limited: make(map[*target]bool), links: newTargetLinks(t)}
+	s := &soakRun{t: t, store: standin.NewStore(), random: rand.New(rand.NewPCG(seed, 0)), limited: make(map[*target]bool), links: newTargetLinks(t), idleLimits: newIdleLimits()}
 	t.Cleanup(s.store.Close)
+	s.document.idleTimeout = idleTimeouts[s.random.IntN(len(idleTimeouts))]
 	s.publishDocument()
 	for range targetsPerService {
 		s.addTarget(writersService)
@@ -108,14 +113,16 @@
 		}
 	})
 	for _, name := range []string{"front-1", "front-2", "front-3"}[:daemonCount] {
-		daemon := newDaemon(t, name, s.store.Address())
+		daemon := newDaemon(t, name, s.store.Address(), s.idleLimits)
 		s.daemons = append(s.daemons, daemon)
 		s.startDaemon(daemon)
 		t.Cleanup(daemon.kill)
 		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return daemon.currentCallerAddress() != "" }), wait.Timeout(recoveryTimeout)))
 	}
-	for number := range callerCount {
-		s.callers = append(s.callers, newCaller(number, seed, s.daemons))
+	for number := range callerCount + pausingCallers {
+		caller := newCaller(number, seed, s.daemons)
+		caller.pausing = number >= callerCount
+		s.callers = append(s.callers, caller)
 	}
 	return s
 }
@@ -162,16 +169,18 @@
 		callerGroup.Go(func() { caller.run(ctx) })
 	}
 	end := time.Now().Add(duration)
+	inject := func(kinds []fault) {
+		for time.Now().Before(end) {
+			fault := kinds[s.randomInt(len(kinds))]
+			s.t.Log(time.Until(end).Round(time.Millisecond), "before the end:", fault.name)
+			fault.inject(s)
+			time.Sleep(s.randomDuration(minFaultDuration))
+		}
+	}
 	for range concurrentFaults {
-		faultGroup.Go(func() {
-			for time.Now().Before(end) {
-				fault := faults[s.randomInt(len(faults))]
-				s.t.Log(time.Until(end).Round(time.Millisecond), "before the end:", fault.name)
-				fault.inject(s)
-				time.Sleep(s.randomDuration(minFaultDuration))
-			}
-		})
+		faultGroup.Go(func() { inject(faults) })
 	}
+	faultGroup.Go(func() { inject(plannedWork) })
 	faultGroup.Wait()
 	stopCallers()
 	callerGroup.Wait()
@@ -185,8 +194,10 @@
 	for _, target := range s.targets {
 		target.InjectFaults()
 		target.EndBrittle()
+		target.SetPause(0)
 	}
-	recoveryCaller := newCaller(callerCount, 0, s.daemons)
+	recoveryCaller := newCaller(callerCount+pausingCallers, 0, s.daemons)
+	defer recoveryCaller.closeAll()
 	s.callers = append(s.callers, recoveryCaller)
 	requestCount := 0
 	var notServed string
@@ -194,12 +205,11 @@
 		for _, daemon := range s.daemons {
 			for _, kind := range requestKinds {
 				requestCount++
-				address := daemon.currentCallerAddress()
-				if address == "" {
+				if daemon.currentCallerAddress() == "" {
 					notServed = daemon.name + " is down"
 					return false
 				}
-				if exchange := recoveryCaller.send(address, kind, "heal-"+string(rune('a'+requestCount%26))+time.Now().Format("150405.000000000")); exchange.status != 200 {
+				if exchange := recoveryCaller.send(daemon.currentProcess(), kind, "heal-"+string(rune('a'+requestCount%26))+time.Now().Format("150405.000000000")); exchange.status != 200 {
 					notServed = fmt.Sprintf("%s at %s: status %d, %s", exchange.path, daemon.name, exchange.status, exchange.responseBody)
 					return false
 				}
@@ -218,8 +228,12 @@
 	served := 0
 	for _, caller := range s.callers {
 		exchanges = append(exchanges, caller.exchanges...)
+		s.violations = append(s.violations, caller.violations...)
 	}
-	for _, exchange := range exchanges {
+	for i := range exchanges {
+		exchange := &exchanges[i]
+		exchange.killed = exchange.process.wasKilled()
+		exchange.disturbed = s.disturbedDuring(exchange.sentAt, exchange.endedAt)
 		if exchange.status == 200 && exchange.complete {
 			served++
 		}
@@ -234,7 +248,19 @@
 			violations = append(violations, daemon.name+" "+exit)
 		}
 	}
-	s.t.Logf("%d requests, %d served completely, %d repeated runs", len(exchanges), served, countRepeatedRuns(targets))
+	crossed, disturbed, notSent := 0, 0, 0
+	for _, exchange := range exchanges {
+		switch {
+		case !exchange.sent:
+			notSent++
+		case exchange.crossed:
+			crossed++
+		case exchange.disturbed && !exchange.complete:
+			disturbed++
+		}
+	}
+	s.t.Logf("%d requests, %d served completely, %d repeated runs; %d not sent whole, %d crossed a close, %d broken by a fault of a daemon or path",
+		len(exchanges), served, countRepeatedRuns(targets), notSent, crossed, disturbed)
 	return violations
 }
 
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -38,6 +38,33 @@
 	s.disturbedAt = time.Now()
 }
 
+// disturbance is a time in which a fault may break answers that have begun.
+type disturbance struct {
+	from, to time.Time // to is zero while it lasts
+}
+
+// disturb begins a disturbance. The returned function ends it.
+func (s *soakRun) disturb() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := len(s.disturbances)
+	s.disturbances = append(s.disturbances, disturbance{from: time.Now()})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.disturbances[number].to = time.Now()
+	}
+}
+
+// disturbedDuring reports whether there was a disturbance within a time.
+func (s *soakRun) disturbedDuring(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.disturbances, func(d disturbance) bool {
+		return d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
+	})
+}
+
 // undisturbedSince reports whether no daemon has been down or suspended since a time.
 func (s *soakRun) undisturbedSince(at time.Time) bool {
 	if !s.daemonDownMu.TryLock() {
@@ -110,7 +137,7 @@
 // crashTargets sends requests that crash targets, and replaces these, for so long that all
 // daemons must hold such requests back. Each run of such a request crashes its target.
 func (s *soakRun) crashTargets(cause fatalCause) {
-	sender := newCaller(callerCount+1, uint64(s.randomInt(1<<30)), s.daemons)
+	sender := newCaller(callerCount+pausingCallers+1, uint64(s.randomInt(1<<30)), s.daemons)
 	s.mu.Lock()
 	s.callers = append(s.callers, sender)
 	s.armed = append(s.armed, cause)
@@ -118,11 +145,12 @@
 		cause.arm(target)
 	}
 	s.mu.Unlock()
+	defer sender.closeAll()
 	startedAt := time.Now()
 	for i := range fatalRequests {
 		daemon := s.randomDaemon()
-		if address := daemon.currentCallerAddress(); address != "" {
-			sender.send(address, cause.request(i), fmt.Sprintf("%s-%d", cause.name, i))
+		if daemon.currentCallerAddress() != "" {
+			sender.send(daemon.currentProcess(), cause.request(i), fmt.Sprintf("%s-%d", cause.name, i))
 		}
 		s.replaceCrashed()
 		time.Sleep(fatalRequestInterval)
