--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -116,6 +116,7 @@
 	for address == "" { // dial sets it right after it has connected
 		l.mu.Lock()
 		address = l.addresses[conn.RemoteAddr().String()]
+		delete(l.addresses, conn.RemoteAddr().String()) // the port may be used again
 		l.mu.Unlock()
 		time.Sleep(time.Millisecond / 10)
 	}
@@ -136,8 +137,8 @@
 	l.copy(conn, target, address)
 }
 
-// copy copies bytes while the link carries them.
-func (l *targetLink) copy(to io.Writer, from io.Reader, address string) {
+// copy copies bytes while the link carries them, and a reset after them.
+func (l *targetLink) copy(to, from net.Conn, address string) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -148,7 +149,11 @@
 			}
 			<-changed
 		}
-		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+		_, writeErr := to.Write(buffer[:n])
+		if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+			_ = tcp.SetLinger(0)
+		}
+		if err != nil || writeErr != nil {
 			return
 		}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -99,8 +100,8 @@
 	}
 	for {
 		outcome := g.attemptOnce(req)
-		if req.r.Context().Err() != nil {
-			g.recordResult(req, cancelledResult(req))
+		if req.ended() {
+			g.respondEnded(req, outcome)
 			return
 		}
 		action := req.state.Decide(outcome, time.Until(req.deadline), func() bool { return req.retryReserved.Swap(false) || g.coordinator.spendRetry(req.service) })
@@ -128,6 +129,9 @@
 	if outOfTime(req) {
 		return attempt.DeadlineExceeded
 	}
+	if req.ended() {
+		return attempt.NotSent
+	}
 	req.via = ""
 	if g.mustForward(req) {
 		if outcome, made := g.forwardAttempt(req); made {
@@ -142,6 +146,8 @@
 	switch {
 	case choice.Target != nil:
 		return g.sendToTarget(req, choice)
+	case req.ended():
+		return attempt.NotSent
 	case req.hold != nil:
 		req.reason = "part_held_back"
 		if req.hold.IsRequest {
@@ -172,7 +178,7 @@
 	}
 	g.awaitPromptRead(req.r.Context(), req, promptRead)
 	g.metrics.countPromptWait()
-	if time.Until(req.deadline) <= 0 {
+	if time.Until(req.deadline) <= 0 || req.ended() {
 		return placement.Choice{}
 	}
 	choice, _ = g.coordinator.chooseTarget(req, false)
@@ -224,7 +230,19 @@
 		g.recordOutcome(req, outlier.Busy, true)
 		return attempt.Refused
 	}
-	if isEventStream(response) {
+	return g.relayAnswer(req, response, info, silence)
+}
+
+// relayAnswer passes a target's answer on to the caller. A success without the target's
+// signature is not the target's.
+func (g *Gateway) relayAnswer(req *relayedRequest, response *exchange.Answer, info relay.Answer, silence *silenceTimer) attempt.Outcome {
+	switch {
+	case response.Status < http.StatusMultipleChoices && !info.Signed:
+		req.reason = "unsigned_answer"
+		g.recordOutcome(req, outlier.ServerError, true)
+		g.log.Info("attempt failed", "request", req.call.ID, "target", req.targetID(), "reason", req.reason, "status", response.Status)
+		return attempt.NoAnswer
+	case isEventStream(response):
 		silence.stop()
 		return g.relayStream(req, response)
 	}
@@ -352,8 +370,16 @@
 	return info.NotRun && status >= http.StatusBadRequest || status == http.StatusMisdirectedRequest && !info.Signed
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and never
+// will. A target may use it without saying so itself: then the request may have run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// isEventStream reports whether a response is a stream, whatever the parameters of its type.
 func isEventStream(response *exchange.Answer) bool {
-	return response.Status == http.StatusOK && response.Header.Get("Content-Type") == "text/event-stream"
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return response.Status == http.StatusOK && strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // recordOutcome records how an attempt ended. If that ejects the target, it closes the
@@ -375,7 +401,7 @@
 // handleAttemptError records an attempt that has brought no response and classifies it by
 // whether the request was sent.
 func (g *Gateway) handleAttemptError(req *relayedRequest, exchangeErr *exchange.Error) attempt.Outcome {
-	callerLeft := req.r.Context().Err() != nil
+	callerLeft := req.ended()
 	switch {
 	case errors.Is(exchangeErr, exchange.ErrExpired):
 		req.reason = "paused" // says nothing about the target
@@ -419,15 +445,19 @@
 	body, err := req.buffers.readAll(response, maxResponseBytes)
 	if err != nil {
 		req.reason = "incomplete_answer"
-		if !errors.Is(err, errNoBufferSpace) && req.r.Context().Err() == nil {
+		if !errors.Is(err, errNoBufferSpace) && !req.ended() {
 			g.checkForCrash(req, progressOf(len(body) > 0), isTimeout(err))
 		}
-		g.recordOutcome(req, outlier.ConnectionLost, req.r.Context().Err() == nil && !errors.Is(err, errNoBufferSpace))
+		g.recordOutcome(req, outlier.ConnectionLost, !req.ended() && !errors.Is(err, errNoBufferSpace))
 		g.log.Info("attempt failed", "request", req.call.ID, "target", req.choice.Target.ID, "reason", req.reason, "error", err, "digest", digestName(req.digest), "shared_parts", loggedParts(req.call.Parts))
 		return attempt.NoAnswer
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	switch {
+	case promisesNotRun(response.Status) && !req.route.Repeatable():
+		req.reason = "untrue_promise"
+		g.recordOutcome(req, outlier.ServerError, true)
+		return attempt.NoAnswer
 	case response.Status >= http.StatusInternalServerError:
 		req.reason = "failed_at_target"
 		req.failedResponse = buffered
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -14,7 +15,17 @@
 	"hemlockknot/platform"
 )
 
-// relayStream forwards the events of a stream as they arrive, but only complete ones.
+var (
+	// errOutOfOrder says that a stream does not go on after the event that the caller has
+	// received last: its run began elsewhere, or is none of this request.
+	errOutOfOrder = errors.New("ids of events do not increase")
+	// errNoEvents says that a stream has ended without an event. A target that stopped
+	// after its head may have closed its answer in good order.
+	errNoEvents = errors.New("stream without an event")
+)
+
+// relayStream forwards the events of a stream as they arrive, but only complete ones. Their
+// ids increase from the event after which the stream was asked for.
 func (g *Gateway) relayStream(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
 	reader := events.NewReader(response)
 	cancel := func() { response.SetReadTimeout(0) }
@@ -27,37 +38,49 @@
 		defer g.streams.remove(stream)
 	}
 	response.SetReadTimeout(g.responseTimeout(req))
-	for first := true; ; first = false {
+	for begun := false; ; {
 		if retryable {
 			silence.restart(timing.PauseTimeout(req.route))
 		}
-		event, err := reader.Next()
+		event, err := nextEvent(reader, req.lastEventID, begun)
 		if errors.Is(err, io.EOF) {
-			return g.finishStream(req, response)
+			return g.finishStream(req)
 		}
 		if err != nil {
 			flush(req) // the caller gets all received events, even if no more follow
-			return g.handleStreamError(req, !first, err)
+			return g.handleStreamError(req, begun, err)
 		}
 		if stream != nil {
 			g.streams.recordEvent(stream)
 		}
-		if first {
+		if event.ID != 0 && !begun {
+			begun = true
 			g.recordAnswer(req)
 		}
-		if event.ID != 0 && event.ID <= req.lastEventID {
-			continue // the caller has received this event already
-		}
 		if req.firstByteAt.IsZero() {
 			g.recordOrigin(req)
 		}
 		if !g.forwardEvent(req, response, event, reader.Buffered()) {
+			req.unwritable = true
 			g.recordOutcome(req, outlier.Served, false)
-			return attempt.Answered
+			return attempt.Interrupted
 		}
 	}
 }
 
+// nextEvent returns the next event of a stream that goes on after an event, or comments. At the
+// end of a whole stream it returns io.EOF. Begun reports whether the stream has had an event.
+func nextEvent(reader *events.Reader, after int64, begun bool) (events.Event, error) {
+	event, err := reader.Next()
+	switch {
+	case errors.Is(err, io.EOF) && !begun:
+		return event, errNoEvents
+	case err == nil && event.ID != 0 && event.ID <= after:
+		return event, fmt.Errorf("%w: %d after %d", errOutOfOrder, event.ID, after)
+	}
+	return event, err
+}
+
 // forwardEvent sends one event to the caller, after the response headers if it is the
 // first one. It flushes only if no more events are buffered, and reports whether the
 // caller could be written to.
@@ -92,10 +115,8 @@
 	req.state.RecordAnswerStarted()
 }
 
-// finishStream records a stream that the target has completed. If no event has been
-// forwarded, finishStream sends the response headers.
-func (g *Gateway) finishStream(req *relayedRequest, response *exchange.Answer) attempt.Outcome {
-	g.startResponse(req, response)
+// finishStream records a stream that the target has completed.
+func (g *Gateway) finishStream(req *relayedRequest) attempt.Outcome {
 	g.recordOutcome(req, outlier.Served, true)
 	return attempt.Answered
 }
@@ -103,7 +124,7 @@
 // handleStreamError records a stream that failed before its end. Begun reports whether
 // this attempt has brought an event.
 func (g *Gateway) handleStreamError(req *relayedRequest, begun bool, err error) attempt.Outcome {
-	callerLeft := req.r.Context().Err() != nil
+	callerLeft := req.ended()
 	req.reason = "stream_broken"
 	if !callerLeft {
 		g.checkForCrash(req, progressOf(begun), isTimeout(err))
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -54,6 +54,9 @@
 	body        string // "order ID" if empty
 }
 
+// lastElement is the last element of all paths.
+const lastElement = "1"
+
 var requestKinds = []requestKind{
 	{path: "/drafts/1", repeatable: true, stream: true},
 	{path: "/queries/1", stream: true},
--- a/internal/soak/configuration_test.go
+++ b/internal/soak/configuration_test.go
@@ -60,10 +60,9 @@
 
 // writeDocument writes the newest version of the configuration. The caller holds mu.
 func (s *soakRun) writeDocument() {
-	document := standin.DocumentWithExtraRoutes(s.document.version, standin.WorkspaceKey, s.document.extraRoutes)
-	standin.SetIdleTimeout(document, s.document.idleTimeout)
 	s.idleLimits.set(s.document.version, s.document.idleTimeout)
-	s.store.Put(platform.KindDocument, platform.DocumentName, document)
+	s.store.Put(platform.KindDocument, platform.DocumentName,
+		standin.DocumentWithIdleTimeout(s.document.version, s.document.idleTimeout, s.document.extraRoutes))
 }
 
 // Ranges of faults that sound targets and planned stops must survive.
@@ -92,11 +91,11 @@
 	slow := append(s.targetsOf(writersService), s.targetsOf(deskService)...)
 	pause := minWorkPause + s.randomDuration(maxWorkPause-minWorkPause)
 	for _, target := range slow {
-		target.SetPause(pause)
+		target.SetPace(lastElement, pause, (standin.EventsPerStream-1)*pause)
 	}
 	s.restartDaemon(syscall.SIGTERM)
 	for _, target := range slow {
-		target.SetPause(0)
+		target.SetPace(lastElement, 0, 0)
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -194,7 +194,7 @@
 	for _, target := range s.targets {
 		target.InjectFaults()
 		target.EndBrittle()
-		target.SetPause(0)
+		target.SetPace(lastElement, 0, 0)
 	}
 	recoveryCaller := newCaller(callerCount+pausingCallers, 0, s.daemons)
 	defer recoveryCaller.closeAll()
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -96,12 +96,14 @@
 	writeResult   <-chan error  // nil if the request was written before the answer was read
 	stopInterrupt func() bool   // unlinks the exchange from the context; false if the context has ended
 	idleTimeout   time.Duration // how long the connection may stay in the pool
+	begun         bool          // a byte of the body has been read
 	atEOF         bool          // the whole body has been read
 }
 
 var (
 	errUnmatched      = errors.New("only answers to other requests came")
 	errTooManyInterim = errors.New("too many interim answers")
+	errOtherVersion   = errors.New("answer is not of HTTP/1.1")
 )
 
 // ErrExpired says that a request was not sent because NotAfter had passed.
@@ -131,6 +133,9 @@
 	if time.Now().After(request.NotAfter) {
 		return nil, &Error{Step: "send to", Address: request.Address, Err: ErrExpired}
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Step: "send to", Address: request.Address, Err: err}
+	}
 	c.setDeadline(time.Now().Add(request.AnswerTimeout))
 	writeResult, err := c.startWrite(outgoing, len(request.Body))
 	if err != nil {
@@ -143,6 +148,13 @@
 	if err != nil {
 		return nil, &Error{Step: "read answer of", Address: request.Address, MaybeSent: true, TimedOut: isTimeout(err), Err: err}
 	}
+	answer := newAnswer(response, request, c)
+	answer.pool, answer.writeResult = p, writeResult
+	return answer, nil
+}
+
+// newAnswer returns the answer to a request whose header has been read from a connection.
+func newAnswer(response *http.Response, request Request, c *conn) *Answer {
 	return &Answer{
 		Status:      response.StatusCode,
 		Header:      response.Header,
@@ -150,10 +162,8 @@
 		Length:      response.ContentLength,
 		body:        response.Body,
 		conn:        c,
-		pool:        p,
-		writeResult: writeResult,
 		idleTimeout: idleTimeout(response, request),
-	}, nil
+	}
 }
 
 // idleTimeout returns how long the connection may stay in the pool after the answer.
@@ -212,6 +222,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.ProtoMajor != 1 || response.ProtoMinor != 1 {
+			// Targets speak HTTP/1.1. The parser takes the chunks of an older version for a body.
+			return nil, fmt.Errorf("%w: %s", errOtherVersion, response.Proto)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -235,12 +249,18 @@
 }
 
 // Read reads the body. If the body is truncated, Read returns an error other than
-// io.EOF.
+// io.EOF. So it does if a success that ends with its connection has no body at all: nothing
+// tells it from an answer whose target stopped after the head.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		a.atEOF = true
+	a.begun = a.begun || n > 0
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !a.begun && !a.Framed && a.Status < http.StatusMultipleChoices {
+		return 0, io.ErrUnexpectedEOF
 	}
+	a.atEOF = true
 	return n, err
 }
 
