--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,7 +34,7 @@
 	retryable := req.state.RetryAllowed()
 	var stream *trackedStream
 	if req.via == "" {
-		stream = g.streams.add(req.choice.Target, cancel, retryable)
+		stream = g.streams.add(req.choice.Target, silence.ifAllowed(retryable))
 		defer g.streams.remove(stream)
 	}
 	response.SetReadTimeout(g.responseTimeout(req))
@@ -43,6 +43,7 @@
 			silence.restart(timing.PauseTimeout(req.route))
 		}
 		event, err := nextEvent(reader, req.lastEventID, begun)
+		silence.pause() // from here on the caller may be slow, not the target
 		if errors.Is(err, io.EOF) {
 			return g.finishStream(req)
 		}
@@ -60,7 +61,7 @@
 		if req.firstByteAt.IsZero() {
 			g.recordOrigin(req)
 		}
-		if !g.forwardEvent(req, response, event, reader.Buffered()) {
+		if !g.forwardEvent(req, response, event, reader.HasNext()) {
 			req.unwritable = true
 			g.recordOutcome(req, outlier.Served, false)
 			return attempt.Interrupted
@@ -82,15 +83,15 @@
 }
 
 // forwardEvent sends one event to the caller, after the response headers if it is the
-// first one. It flushes only if no more events are buffered, and reports whether the
-// caller could be written to.
-func (g *Gateway) forwardEvent(req *relayedRequest, response *exchange.Answer, event events.Event, moreBuffered bool) bool {
+// first one. It flushes unless the next event is there already, and reports whether the caller
+// could be written to.
+func (g *Gateway) forwardEvent(req *relayedRequest, response *exchange.Answer, event events.Event, hasNext bool) bool {
 	g.startResponse(req, response)
 	if _, err := req.w.Write(event.Bytes); err != nil {
 		return false
 	}
 	req.lastEventID = max(req.lastEventID, event.ID)
-	if moreBuffered {
+	if hasNext {
 		return true
 	}
 	return flush(req)
--- a/internal/gateway/unreached.go
+++ b/internal/gateway/unreached.go
@@ -17,6 +17,8 @@
 const (
 	// verifyProbes is how many targets of a silent service are probed at once.
 	verifyProbes = 3
+	// maxProbeDelay is how late probes that no target answers may end.
+	maxProbeDelay = 20 * time.Millisecond
 	// reachProbes is how many targets of a service that is not reached are probed in each
 	// probeInterval.
 	reachProbes = 2
@@ -26,14 +28,15 @@
 )
 
 // verifySilentService checks with probes whether this daemon still reaches a service that is
-// silent. If this daemon itself was stalled, or the engines read long prompts, a probe is
-// answered.
+// silent. If the engines read long prompts, a probe is answered; if this daemon itself is
+// stalled, the probes end late.
 func (g *Gateway) verifySilentService(ctx context.Context, service string) {
-	if g.reachesAny(ctx, g.coordinator.sampleTargets(service, verifyProbes), verifyTimeout) {
+	answered, conclusive := g.probeAny(ctx, g.coordinator.sampleTargets(service, verifyProbes), verifyTimeout)
+	if answered {
 		g.streams.recordServiceActivity(service)
 		return
 	}
-	if slices.Contains(g.silentServices(time.Now()), service) && g.coordinator.markUnreached(service) {
+	if conclusive && slices.Contains(g.silentServices(time.Now()), service) && g.coordinator.markUnreached(service) {
 		g.handleUnreached(service, "silent")
 	}
 }
@@ -53,11 +56,12 @@
 	}
 	go func() {
 		probedAt := time.Now()
-		if g.reachesAny(context.Background(), others, verifyTimeout) {
+		answered, conclusive := g.probeAny(context.Background(), others, verifyTimeout)
+		if answered {
 			g.recordReached(target.Service, probedAt)
 			return
 		}
-		if g.coordinator.markUnreached(target.Service) {
+		if conclusive && g.coordinator.markUnreached(target.Service) {
 			g.handleUnreached(target.Service, "connections fail")
 		}
 	}()
@@ -76,17 +80,17 @@
 	return g.streams.answeredSince(startedAt)
 }
 
-// handleUnreached closes the idle connections to a service that is not reached and cancels
-// its streams that may go on elsewhere: other daemons may reach the service. The targets are
-// then probed until one answers. Other services are checked at once, as a host that loses one
-// often loses all.
+// handleUnreached closes the idle connections to a service that is not reached. Its silent
+// streams and waits go on by way of other daemons, which may reach the service, as far as these
+// can take them and the retry budget allows. The targets are then probed until one answers. Other
+// services are checked at once, as a host that loses one often loses all.
 func (g *Gateway) handleUnreached(service, evidence string) {
 	for _, target := range g.coordinator.serviceTargets(service) {
 		g.pool.CloseIdle(target.Address)
 	}
-	cancelled := g.streams.cancelService(service)
+	moved := expireEarly(g.streams.serviceWaits(service))
 	g.metrics.countUnreachedService()
-	g.log.Warn("no target of the service is reached, requests are forwarded to other daemons", "service", service, "evidence", evidence, "streams_moved", cancelled)
+	g.log.Warn("no target of the service is reached, requests are forwarded to other daemons", "service", service, "evidence", evidence, "streams_moved", moved)
 	g.peers.announceUnreached(g.coordinator.unreachedServices())
 	go g.probeUntilReached(service)
 	go g.verifyOtherServices()
@@ -98,7 +102,11 @@
 	for _, service := range g.coordinator.reachedServices() {
 		go func() {
 			targets := g.coordinator.sampleTargets(service, verifyProbes)
-			if len(targets) > 1 && !g.reachesAny(context.Background(), targets, exchange.DialTimeout) && g.coordinator.markUnreached(service) {
+			if len(targets) < 2 {
+				return
+			}
+			answered, conclusive := g.probeAny(context.Background(), targets, exchange.DialTimeout)
+			if !answered && conclusive && g.coordinator.markUnreached(service) {
 				g.handleUnreached(service, "other services are not reached")
 			}
 		}()
@@ -106,7 +114,8 @@
 }
 
 // probeUntilReached probes targets of a service until one answers, or the service is reached
-// otherwise or has no targets left.
+// otherwise or has no targets left. Before each round it moves the silent streams and waits for
+// which there was no retry or no daemon before.
 func (g *Gateway) probeUntilReached(service string) {
 	delay := firstProbeDelay
 	for round := 1; ; round++ {
@@ -116,6 +125,7 @@
 		case <-time.After(delay):
 		}
 		delay = probeInterval
+		_ = expireEarly(g.streams.serviceWaits(service))
 		targets := g.coordinator.sampleTargets(service, reachProbes)
 		if round%roundsForAll == 0 {
 			targets = sample(g.coordinator.candidates(service), 1)
@@ -139,22 +149,36 @@
 	}
 }
 
-// reachesAny reports whether any of the targets answers a probe within the timeout. An open
-// connection alone proves nothing: what lies between may accept it.
+// reachesAny reports whether any of the targets answers a probe within the timeout.
 func (g *Gateway) reachesAny(ctx context.Context, targets []*fleet.Target, timeout time.Duration) bool {
+	answered, _ := g.probeAny(ctx, targets, timeout)
+	return answered
+}
+
+// probeAny probes targets and reports whether any of them answers within the timeout. An open
+// connection alone proves nothing: what lies between may accept it. That none answers is
+// conclusive unless this daemon itself was stalled.
+func (g *Gateway) probeAny(ctx context.Context, targets []*fleet.Target, timeout time.Duration) (answered, conclusive bool) {
+	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var answered atomic.Bool
+	var anyAnswered atomic.Bool
 	var dials sync.WaitGroup
 	for _, target := range targets {
 		dials.Go(func() {
 			if g.answersProbe(ctx, target) {
-				answered.Store(true)
+				anyAnswered.Store(true)
 			}
 		})
 	}
 	dials.Wait()
-	return answered.Load()
+	return anyAnswered.Load(), endedInTime(startedAt, timeout)
+}
+
+// endedInTime reports whether probes have ended when they were due. If not, this daemon itself
+// was stalled, and answers may have come that were not read.
+func endedInTime(startedAt time.Time, timeout time.Duration) bool {
+	return time.Since(startedAt) <= timeout+maxProbeDelay
 }
 
 // answersProbe reports whether a target answers, in any way, a request that no target runs.
