--- a/internal/transport/httpserver/request.go
+++ b/internal/transport/httpserver/request.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -33,10 +35,21 @@
 		defer s.end(request)
 		response := &trackedResponse{ResponseWriter: w, server: s, request: r}
 		defer s.checkEnd(request, response)
-		handler.ServeHTTP(response, r.WithContext(ctx))
+		handler.ServeHTTP(response, r.WithContext(context.WithValue(ctx, requestKey{}, request)))
 	})
 }
 
+// requestKey is the key of a request's *requestInFlight in its context.
+type requestKey struct{}
+
+// RequestID returns the id of the request that has the context, or "".
+func RequestID(ctx context.Context) string {
+	if request, ok := ctx.Value(requestKey{}).(*requestInFlight); ok {
+		return request.id
+	}
+	return ""
+}
+
 // begin records that the handler of a request starts.
 func (s *Server) begin(request *requestInFlight) {
 	s.mu.Lock()
@@ -57,11 +70,12 @@
 // cancelRequests cancels the requests in flight and returns their number.
 func (s *Server) cancelRequests() int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for request := range s.requests {
+	requests := slices.Collect(maps.Keys(s.requests))
+	s.mu.Unlock()
+	for _, request := range requests { // without the lock, as the handlers that end need it
 		request.cancel(ErrStopping)
 	}
-	return len(s.requests)
+	return len(requests)
 }
 
 // reportUnanswered reports the requests in flight, whose connections are about to be closed.
@@ -95,6 +109,7 @@
 	if response.begun {
 		response.abort()
 	}
+	clear(response.Header()) // of the response that has not begun
 	response.Header().Set("Connection", "close")
 	response.WriteHeader(http.StatusBadGateway)
 	_, _ = io.WriteString(response, "may have run: internal error\n") // fails only if the caller has left
@@ -152,7 +167,10 @@
 // connKey is the key of a request's *callerConn in its context.
 type connKey struct{}
 
-func withConn(ctx context.Context, conn net.Conn) context.Context {
+func (s *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if s.options.ConnContext != nil {
+		ctx = s.options.ConnContext(ctx, conn)
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
