A stop closes the listener once no connection waits to be accepted

A connection on which a whole request has come may wait for a process that is short of processor time; closing the listener reset it unread. The goroutine that accepts closes the listener now, as the reader of a connection does.

--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockknot/internal/transport/socket"
@@ -145,15 +146,47 @@
 }
 
 // callerListener wraps the connections that it accepts.
+//
+// Invariant: once drain has been called, it is closed by the goroutine that accepts, when no
+// connection waits to be accepted: on one that does, a request may have come.
 type callerListener struct {
 	net.Listener
-	wrap func(net.Conn) net.Conn
+	wrap     func(net.Conn) net.Conn
+	draining atomic.Bool
+	ended    chan struct{} // closed when no more connections are accepted
+}
+
+// pendingAcceptTimeout limits the time to accept a connection that waits: it comes at once, unless
+// its caller has left.
+const pendingAcceptTimeout = 50 * time.Millisecond
+
+// acceptDeadliner is a listener whose Accept can be ended.
+type acceptDeadliner interface{ SetDeadline(time.Time) error }
+
+// drain ends Accept soon.
+func (l *callerListener) drain() {
+	l.draining.Store(true)
+	if limited, ok := l.Listener.(acceptDeadliner); !ok || limited.SetDeadline(time.Now()) != nil {
+		_ = l.Close() // callers are refused from now on in any case
+	}
 }
 
-func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Accept returns the next connection. After drain it fails once no connection waits.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			if l.draining.Load() {
+				l.drain()
+			}
+			return l.wrap(conn), nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		case !socket.HasPending(l.Listener):
+			_ = l.Close() // callers are refused from now on in any case
+			return nil, net.ErrClosed
+		}
+		_ = l.Listener.(acceptDeadliner).SetDeadline(time.Now().Add(pendingAcceptTimeout)) // drain has set one before
 	}
-	return l.wrap(conn), nil
 }
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -88,7 +88,7 @@
 	mu           sync.Mutex
 	idleTimeouts *keepalive.Timeouts
 	stage        stopStage
-	listener     net.Listener // nil before Serve
+	listener     *callerListener // nil before Serve
 	conns        map[*callerConn]struct{}
 	requests     map[*requestInFlight]struct{}
 	stopped      chan struct{} // closed by Stop
@@ -115,11 +115,13 @@
 
 // Serve serves the listener until Stop has completed.
 func (s *Server) Serve(listener net.Listener) error {
+	accepting := &callerListener{Listener: listener, wrap: s.wrapConn, ended: make(chan struct{})}
 	s.mu.Lock()
-	s.listener = listener
+	s.listener = accepting
 	s.mu.Unlock()
-	err := s.http.Serve(callerListener{listener, s.wrapConn})
-	if s.currentStage() == notStopping && !errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(accepting)
+	close(accepting.ended)
+	if !accepting.draining.Load() && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	<-s.stopped
@@ -150,8 +152,8 @@
 // that their handlers answer them. It returns the number of requests that were cancelled.
 func (s *Server) Stop(plan shutdown.Plan) (cancelled int) {
 	defer close(s.stopped)
+	s.drainListener(plan.CutAt)
 	s.enter(draining)
-	s.closeListener()
 	s.awaitQuiet(partialRequestWait, plan.CutAt)
 	cancelled = s.cancelRequests()
 	s.enter(cut)
@@ -177,12 +179,20 @@
 	}
 }
 
-// closeListener closes the listener if there is one.
-func (s *Server) closeListener() {
+// drainListener closes the listener, if there is one, once no connection waits there, and
+// returns when that has been done, but not later than at a time.
+func (s *Server) drainListener(limit time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close() // callers are refused from now on in any case
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return
+	}
+	listener.drain()
+	select {
+	case <-listener.ended:
+	case <-time.After(time.Until(limit)):
+		_ = listener.Close() // callers are refused from now on in any case
 	}
 }
 
--- a/internal/transport/socket/unread.go
+++ b/internal/transport/socket/unread.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Unread is what a connection has for its reader.
@@ -45,3 +47,23 @@
 	}
 	return unread
 }
+
+// HasPending reports whether a connection waits to be accepted by a listener. Its deadline does
+// not matter.
+func HasPending(listener net.Listener) bool {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(polled, 0)
+		pending = pollErr == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && pending
+}
