A forwarded request whose body cannot be read ends its connection

Its read deadline could have passed to the next request of the same connection, found by reading the diff.

--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -69,6 +69,7 @@
 	}
 	endLimit := limitBodyTime(req)
 	if req.body, err = req.buffers.readAll(r.Body, maxForwardedBody); err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
 		g.answerForwarded(&relayedRequest{callerRequest: req, reason: "no_buffer_space"}, forward.Unreached, 0)
 		return
 	}
