--- a/internal/gateway/preceding_version_test.go
+++ b/internal/gateway/preceding_version_test.go
@@ -13,6 +13,7 @@
 
 // crash ends the daemon without a stop: nothing is announced, and what it knew is lost.
 func (f *testFixture) crash() {
+	f.daemon.stopGrace.Store(0) // a daemon whose listeners fail stops as planned otherwise
 	for _, listener := range []interface{ Close() error }{f.daemon.callerListener, f.daemon.peerListener, f.daemon.forwardListener, f.daemon.readinessListener} {
 		_ = listener.Close()
 	}
