--- a/internal/gateway/short_stop_test.go
+++ b/internal/gateway/short_stop_test.go
@@ -17,7 +17,7 @@
 
 // Callers open connections, use and keep them at any moment of a planned stop with a short grace.
 func TestStopWithAShortGraceAnswersWhatItHasRead(t *testing.T) {
-	for _, grace := range []time.Duration{8 * time.Second, 2 * time.Second} {
+	for _, grace := range []time.Duration{8 * time.Second, 2 * time.Second, 500 * time.Millisecond} {
 		t.Run(grace.String(), func(t *testing.T) {
 			f, writers, desks := prepareFixture(t, defaultRetryExtra)
 			targets := append(writers[:], desks[:]...)
