--- a/review/harness-2/case7.go
+++ b/review/harness-2/case7.go
@@ -16,7 +16,7 @@
 // than drainMs after the store has accepted that it is draining.
 func largeEntriesOfAnotherWriter(w *world) verdict {
 	const (
-		entries     = 12
+		entries     = 20
 		runners     = 9
 		sessions    = 27
 		eachSession = 18 * time.Second // time between two requests of a session
@@ -83,11 +83,12 @@
 	}()
 	time.Sleep(6 * time.Second)
 	if w.trouble {
+		large := []byte(`"` + strings.Repeat("x", valueBytes-100) + `"`)
 		for i := range entries {
-			w.store.put("servers", fmt.Sprintf("x-other-%d", i), strings.Repeat("x", valueBytes-100))
-			time.Sleep(20 * time.Millisecond)
+			w.store.putRaw("servers", fmt.Sprintf("x-other-%d", i), large)
+			time.Sleep(10 * time.Millisecond)
 		}
-		w.note("another writer has put %d entries of %d bytes", entries, valueBytes-100)
+		w.note("another writer has put %d entries of %d bytes", entries, len(large))
 	}
 	time.Sleep(time.Second)
 	for i := range leave {
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -74,9 +74,14 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putRaw(kind, name, encoded)
+}
+
+// putRaw writes an object whose spec is encoded.
+func (s *store) putRaw(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(kind, name, encoded)
+	s.write(kind, name, spec)
 }
 
 // write writes an object. The caller holds mu.
