Review 2: case 7 shows heads that take the processor; cases are ordered anew

Cause: the entries of Connection are compared with each field of a head, so one client with 20 requests a second ends the service of a machine. Added: case 7, with the machine's processor quota kept by SIGSTOP and SIGCONT.

--- a/review/harness-2/case7.go
+++ b/review/harness-2/case7.go
@@ -3,120 +3,146 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-func init() { cases["7"] = largeEntriesOfAnotherWriter }
+func init() { cases["7"] = headsThatTakeLong }
 
-// largeEntriesOfAnotherWriter: another writer puts entries that can't be read into the list of
-// runners. Runners then leave one after the other, as at a release. No request may reach one later
-// than drainMs after the store has accepted that it is draining.
-func largeEntriesOfAnotherWriter(w *world) verdict {
+// headsThatTakeLong: one client sends few requests whose heads, inside the limits of the
+// configuration, take the daemon long. Ordinary clients must still get answers.
+func headsThatTakeLong(w *world) verdict {
 	const (
-		entries     = 20
-		runners     = 9
-		sessions    = 27
-		eachSession = 18 * time.Second // time between two requests of a session
-		drain       = 2 * time.Second
-		serveFor    = 9 * time.Second // after the store has accepted that a runner is draining
-		gap         = 3 * time.Second // between the runners that leave
-		leave       = 5
+		every   = 50 * time.Millisecond // two requests of the client
+		playFor = 30 * time.Second
+		contact = 3 * time.Second
 	)
 	w.store.putConfig(1, ordinaryRoutes())
-	var mu sync.Mutex
-	drainingAt := make(map[string]time.Time)
-	var late []string
-	var all []*runner
-	var arrived atomic.Int64
-	for i := range runners {
-		r := w.addRunner(engines, string("abc"[i%3]), true)
-		r.onRun = func(e execution) {
-			arrived.Add(1)
-			mu.Lock()
-			defer mu.Unlock()
-			if at, draining := drainingAt[r.id]; draining {
-				after := e.at.Sub(at)
-				w.note("request %s reaches %s %.2f s after the store accepted that it is draining", e.id, r.id, after.Seconds())
-				if after > drain {
-					late = append(late, fmt.Sprintf("%s at %s after %.2f s", e.id, r.id, after.Seconds()))
-				}
-			}
-		}
-		all = append(all, r)
-	}
 	for i := range 3 {
+		w.addRunner(engines, string("abc"[i]), true)
 		w.addRunner(application, string("abc"[i]), false)
 	}
-	w.addMachines(3)
-	for _, d := range w.daemons {
-		d.start()
-	}
-	w.awaitReady(w.daemons...)
-	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	w.addMachines(1)
+	d := w.daemons[0]
+	d.start()
+	w.awaitReady(d)
+	ctx, cancel := context.WithTimeout(context.Background(), playFor+contact)
 	defer cancel()
-	var served, failed atomic.Int64
-	go func() { // returning chats
-		ticker := time.NewTicker(eachSession / sessions)
+	used := d.keepQuota(ctx)
+	time.Sleep(contact)
+	others := w.runOrdinary(ctx, 40*time.Millisecond)
+	var sent, served, largest atomic.Int64
+	go func() {
+		time.Sleep(5 * time.Second)
+		ticker := time.NewTicker(every)
 		defer ticker.Stop()
-		for n := 0; ; n++ {
+		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
 			}
 			go func() {
-				id := newID()
-				d := w.daemons[n%len(w.daemons)]
-				session := n % sessions
-				result := send(d.front(), requestText("POST", fmt.Sprintf("/pufi791/%x", session), id, tenantKey, fmt.Sprintf("77aa07a2:119,31bd%04x:580,f4%06x:130", session, n), 10000, ""), 10*time.Second)
-				if result.status == 200 && result.whole {
-					served.Add(1)
+				var more strings.Builder
+				if w.trouble {
+					more.WriteString("Connection: " + strings.Repeat(",", 8000) + "\r\n")
 				} else {
-					failed.Add(1)
-					w.note("request %s of session %d: status %d, %v", id, session, result.status, result.err)
+					more.WriteString("X-Other: " + strings.Repeat(",", 8000) + "\r\n")
+				}
+				for i := 0; more.Len() < maxHeaderBytes-600; i++ {
+					fmt.Fprintf(&more, "%s:\r\n", strconv.FormatInt(int64(36*10+i), 36))
+				}
+				text := requestText("GET", "/cufi504/2f", newID(), otherKey, "", 4000, more.String())
+				largest.Store(int64(len(text)))
+				sent.Add(1)
+				if result := send(d.front(), text, 5*time.Second); result.status == 200 && result.whole {
+					served.Add(1)
 				}
 			}()
 		}
 	}()
-	time.Sleep(6 * time.Second)
-	if w.trouble {
-		large := []byte(`"` + strings.Repeat("x", valueBytes-100) + `"`)
-		for i := range entries {
-			w.store.putRaw("servers", fmt.Sprintf("x-other-%d", i), large)
-			time.Sleep(10 * time.Millisecond)
+	asked, ready := 0, 0
+	for ctx.Err() == nil {
+		time.Sleep(2 * time.Second)
+		asked++
+		isReady := d.ready()
+		if isReady {
+			ready++
 		}
-		w.note("another writer has put %d entries of %d bytes", entries, len(large))
+		ok, refused, failed := others.counts()
+		w.note("processor used %.2f of a core; ready %t; the client: %d sent, %d served; ordinary: %d served, %d refused, %d failed", used(), isReady, sent.Load(), served.Load(), ok, refused, failed)
 	}
-	time.Sleep(time.Second)
-	for i := range leave {
-		r := all[i]
-		r.leaving.Store(true)
-		mu.Lock()
-		w.store.put("servers", r.id, r.entry("draining"))
-		drainingAt[r.id] = time.Now()
-		mu.Unlock()
-		w.note("the store has accepted that %s is draining", r.id)
-		go func() {
-			time.Sleep(serveFor)
-			w.store.remove("servers", r.id)
-			r.crash()
-		}()
-		time.Sleep(gap)
-	}
-	time.Sleep(serveFor)
 	cancel()
-	time.Sleep(300 * time.Millisecond)
-	mu.Lock()
-	defer mu.Unlock()
-	summary := fmt.Sprintf("%d requests reached runners later than %s after the store had accepted that they were draining (%s); %d served, %d not", len(late), drain, strings.Join(late, "; "), served.Load(), failed.Load())
+	ok, refused, failed := others.counts()
+	unserved := others.longestUnserved()
+	w.note("head of %d bytes of %d; the first ordinary requests that failed: %s", largest.Load(), maxHeaderBytes, strings.Join(others.firstFailures, "; "))
+	summary := fmt.Sprintf("ready %d of %d times; no ordinary request served for %.1f s; ordinary requests: %d served, %d refused, %d failed", ready, asked, unserved.Seconds(), ok, refused, failed)
 	switch {
-	case served.Load() == 0:
+	case ok == 0:
 		return verdict{invalid: "nothing was served"}
-	case len(late) > 0:
+	case unserved > contact:
 		return verdict{broken: summary}
 	}
 	return verdict{held: summary}
 }
+
+// cpuShare and quotaPeriod are the processor of a machine of the small deployments, as a quota: the
+// core runs at full speed until the quota is used up, and then not at all for the rest of the period.
+const (
+	cpuShare    = 0.4
+	quotaPeriod = 100 * time.Millisecond
+)
+
+// keepQuota gives the process its machine's share of a processor until the context ends. It returns a
+// function that returns the share that the process has used since it was last called.
+func (d *daemon) keepQuota(ctx context.Context) (used func() float64) {
+	go func() {
+		defer d.signal(syscall.SIGCONT)
+		for ctx.Err() == nil {
+			end := time.Now().Add(quotaPeriod)
+			limit := d.processorTime() + time.Duration(cpuShare*float64(quotaPeriod))
+			for time.Now().Before(end) {
+				time.Sleep(2 * time.Millisecond)
+				if d.processorTime() >= limit {
+					d.signal(syscall.SIGSTOP)
+					time.Sleep(time.Until(end))
+					// what was used too much is paid from the next periods
+					if excess := d.processorTime() - limit; excess > 0 {
+						time.Sleep(time.Duration(float64(excess) / cpuShare))
+					}
+					d.signal(syscall.SIGCONT)
+					break
+				}
+			}
+		}
+	}()
+	last, lastAt := d.processorTime(), time.Now()
+	return func() float64 {
+		now, at := d.processorTime(), time.Now()
+		share := (now - last).Seconds() / at.Sub(lastAt).Seconds()
+		last, lastAt = now, at
+		return share
+	}
+}
+
+// processorTime returns the processor time that all threads of the process have used.
+func (d *daemon) processorTime() time.Duration {
+	folder := fmt.Sprintf("/proc/%d/task", d.command.Process.Pid)
+	threads, err := os.ReadDir(folder)
+	if err != nil {
+		return 0
+	}
+	total := int64(0)
+	for _, thread := range threads {
+		text, _ := os.ReadFile(folder + "/" + thread.Name() + "/schedstat")
+		if fields := strings.Fields(string(text)); len(fields) > 0 {
+			nanoseconds, _ := strconv.ParseInt(fields[0], 10, 64)
+			total += nanoseconds
+		}
+	}
+	return time.Duration(total)
+}
--- a/review/harness-2/case8.go
+++ b/review/harness-2/case8.go
@@ -1,65 +1,115 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-func init() { cases["8"] = pathsOfTwoSlashes }
+func init() { cases["8"] = bodiesThatDoNotCome }
 
-// pathsOfTwoSlashes: a client sends requests whose paths begin with two slashes, on a route with the
-// prefix "/". Runners must get the paths as they were sent.
-func pathsOfTwoSlashes(w *world) verdict {
-	const requests = 20
-	routes := append(ordinaryRoutes(),
-		route("other reads", "/", "idempotent", application, map[string]any{"host": "zoqa17.example", "latencyTargetMs": 300, "timeoutMs": 2000, "priority": 2}),
-		route("other bookings", "/", "non_idempotent", application, map[string]any{"host": "yuva55.example", "latencyTargetMs": 300, "timeoutMs": 2000, "maxAttempts": 1, "priority": 2}))
-	w.store.putConfig(1, routes)
-	var mu sync.Mutex
-	ran := make(map[string]string) // target by request id
+// bodiesThatDoNotCome: clients send whole heads, inside the limits of the configuration, and no body.
+// The daemon must stay within the memory of its machine, and ordinary clients must get answers.
+func bodiesThatDoNotCome(w *world) verdict {
+	const (
+		connections = 2600
+		rampUp      = 8 * time.Second
+		playFor     = 40 * time.Second
+		contact     = 3 * time.Second
+	)
+	w.store.putConfig(1, ordinaryRoutes())
 	for i := range 3 {
-		r := w.addRunner(application, string("abc"[i]), false)
-		r.onRun = func(e execution) { mu.Lock(); ran[e.id] = e.target; mu.Unlock() }
 		w.addRunner(engines, string("abc"[i]), true)
+		w.addRunner(application, string("abc"[i]), false)
 	}
-	w.addMachines(2)
-	for _, d := range w.daemons {
-		d.start()
-	}
-	w.awaitReady(w.daemons...)
-	time.Sleep(3 * time.Second)
-	var changed []string
-	served := 0
-	for n := range requests {
-		id, method, to := newID(), "GET", "zoqa17.example"
-		if n%2 == 1 {
-			method, to = "POST", "yuva55.example"
+	w.addMachines(1)
+	d := w.daemons[0]
+	d.start()
+	w.awaitReady(d)
+	time.Sleep(contact)
+	ctx, cancel := context.WithTimeout(context.Background(), playFor)
+	defer cancel()
+	others := w.runOrdinary(ctx, 25*time.Millisecond)
+	var open, largest atomic.Int64
+	var statuses sync.Map
+	prompt := strings.Repeat("1:1,", 3900) + "2:2"
+	visit := func() {
+		conn, err := net.DialTimeout("tcp", d.front(), time.Second)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		open.Add(1)
+		defer open.Add(-1)
+		head, _, _ := strings.Cut(requestText("POST", "/lohu930/2f", newID(), otherKey, prompt, 12000, ""), "hello")
+		largest.Store(int64(len(head)))
+		_, _ = io.WriteString(conn, head)
+		_ = conn.SetReadDeadline(time.Now().Add(playFor))
+		answer := make([]byte, 300)
+		status := "closed"
+		if n, _ := conn.Read(answer); n > 12 {
+			status = string(answer[9:12])
 		}
-		target := fmt.Sprintf("/lots/%x/status?day=%d", n, n)
-		if w.trouble {
-			target = "/" + target
+		count, _ := statuses.LoadOrStore(status, new(atomic.Int64))
+		count.(*atomic.Int64).Add(1)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if w.trouble {
+		for i := range connections {
+			go func() {
+				time.Sleep(time.Duration(i) * rampUp / connections)
+				for ctx.Err() == nil {
+					visit()
+				}
+			}()
 		}
-		text := strings.Replace(requestText(method, target, id, tenantKey, "", 4000, ""), "Host: "+host, "Host: "+to, 1)
-		result := send(w.daemons[n%2].front(), text, 5*time.Second)
-		mu.Lock()
-		got, found := ran[id]
-		mu.Unlock()
-		if result.status == 200 && result.whole {
-			served++
+	}
+	asked, ready, ends, peak := 0, 0, 0, 0.0
+	lastNote := time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+		resident := d.residentMB()
+		peak = max(peak, resident)
+		switch {
+		case !d.running():
+			w.note("%s has ended by itself: %s", d.machine.name, d.logTail())
+			ends++
+			d.start()
+		case resident > memoryMB: // what the platform does to a process that exceeds memoryMb
+			w.note("%s has %.0f MiB, its machine has %d: killed and started again; connections without a body: %d", d.machine.name, resident, memoryMB, open.Load())
+			ends++
+			d.kill()
+			time.Sleep(200 * time.Millisecond)
+			d.start()
 		}
-		w.note("request %s: sent %s %s, answered %d, run as %q", id, method, target, result.status, got)
-		if found && got != target {
-			changed = append(changed, fmt.Sprintf("%s for %s", got, target))
+		if time.Since(lastNote) > 2*time.Second {
+			lastNote = time.Now()
+			asked++
+			isReady := d.ready()
+			if isReady {
+				ready++
+			}
+			served, refused, failed := others.counts()
+			w.note("resident %.0f MiB; connections without a body: %d; ready %t; ordinary: %d served, %d refused, %d failed", d.residentMB(), open.Load(), isReady, served, refused, failed)
 		}
 	}
-	summary := fmt.Sprintf("%d of %d requests ran with another path than the client's, such as %s; %d served", len(changed), requests, strings.Join(changed[:min(1, len(changed))], ""), served)
+	statuses.Range(func(k, v any) bool { w.note("visits that ended with %v: %d", k, v.(*atomic.Int64).Load()); return true })
+	served, refused, failed := others.counts()
+	unserved := others.longestUnserved()
+	w.note("head of %d bytes of %d; the first ordinary requests that failed: %s", largest.Load(), maxHeaderBytes, strings.Join(others.firstFailures, "; "))
+	summary := fmt.Sprintf("%d ends of the process, peak %.0f MiB of %d; ready %d of %d times; no ordinary request served for %.1f s; ordinary requests: %d served, %d refused, %d failed",
+		ends, peak, memoryMB, ready, asked, unserved.Seconds(), served, refused, failed)
 	switch {
-	case len(changed) > 0:
+	case served+refused+failed < 100:
+		return verdict{invalid: "too few ordinary requests"}
+	case ends > 0, unserved > contact:
 		return verdict{broken: summary}
-	case served == 0:
-		return verdict{invalid: "nothing was served"}
 	}
 	return verdict{held: summary}
 }
