--- a/review/harness-2/case9.go
+++ b/review/harness-2/case9.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +23,10 @@
 		playFor     = 40 * time.Second
 		contact     = 3 * time.Second
 	)
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 2*connections {
+		return verdict{invalid: fmt.Sprintf("too few descriptors: %d", files.Cur)}
+	}
 	w.store.putConfig(1, ordinaryRoutes())
 	for i := range 3 {
 		w.addRunner(engines, string("abc"[i]), true)
