--- a/review/harness-2/case10.go
+++ b/review/harness-2/case10.go
@@ -72,11 +72,11 @@
 				d := w.daemons[n%len(w.daemons)]
 				session := n % sessions
 				result := send(d.front(), requestText("POST", fmt.Sprintf("/pufi791/%x", session), id, tenantKey, fmt.Sprintf("77aa07a2:119,31bd%04x:580,f4%06x:130", session, n), 10000, ""), 10*time.Second)
+				w.note("request %s of session %d at %s: answered %d, whole %t", id, session, d.machine.name, result.status, result.whole)
 				if result.status == 200 && result.whole {
 					served.Add(1)
 				} else {
 					failed.Add(1)
-					w.note("request %s of session %d: status %d, %v", id, session, result.status, result.err)
 				}
 			}()
 		}
--- a/review/harness-2/case8.go
+++ b/review/harness-2/case8.go
@@ -59,9 +59,11 @@
 				text := requestText("GET", "/cufi504/2f", newID(), otherKey, "", 4000, more.String())
 				largest.Store(int64(len(text)))
 				sent.Add(1)
-				if result := send(d.front(), text, 5*time.Second); result.status == 200 && result.whole {
+				result := send(d.front(), text, 5*time.Second)
+				if result.status == 200 && result.whole {
 					served.Add(1)
 				}
+				w.note("the client's request: answered %d, whole %t", result.status, result.whole)
 			}()
 		}
 	}()
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +110,8 @@
 		text = requestText("GET", fmt.Sprintf("/cufi504/%x", n%40), id, tenantKey, "", 4000, "")
 	}
 	result := send(d.front(), text, 5*time.Second)
+	line, _, _ := strings.Cut(text, " HTTP/")
+	w.note("ordinary request %s, %s, at %s: answered %d, whole %t", id, line, d.machine.name, result.status, result.whole)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -210,6 +210,9 @@
 	r.mu.Lock()
 	r.runs = append(r.runs, ran)
 	r.mu.Unlock()
+	if ran.tenant == tenant { // the others' are too many
+		r.world.note("%s runs %s", r.id, id)
+	}
 	if r.onRun != nil {
 		r.onRun(ran)
 	}
