Streams of a daemon that is cut off do not go on at the preceding version

Cause: a stream that nobody knows goes on at the preceding version if a daemon "may have been lost before it had heard of a second one", which was decided by when the daemon had last been heard of (4 s after the second version appeared). A daemon that is cut off has heard of it, lives, and begins streams there. No time since it was last heard of tells what a daemon knew, as it may hear of the version from the store between two exchanges.

Change: a daemon begins streams at a further version only when the store holds that it may (kind stream-declarations, by way of another daemon if the store cannot be reached). An unknown stream goes on at the preceding version only if all daemons that have declared another version have answered that they do not know it, those that stop included. A missing declares_versions of a member means "not known". The tests' restarted daemons keep the name of their host; they had that of a living one.

Why this works: a daemon without a declaration cannot have begun streams at another version; that follows from the order of its writes, not from a clock.

--- a/internal/coordination/member/gossip.go
+++ b/internal/coordination/member/gossip.go
@@ -104,6 +104,7 @@
 	return &peerpb.Member{
 		Name: entry.GetName(), Address: entry.GetAddress(), Place: entry.GetPlace(), FailureDomain: entry.GetFailureDomain(),
 		Incarnation: entry.GetIncarnation(), Heartbeat: peer.heartbeat, Leaving: entry.GetLeaving(),
+		DeclaresVersions: entry.GetDeclaresVersions(),
 	}
 }
 
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -44,8 +44,13 @@
 	missingEntryIDs map[uint32]struct{} // ids in received digests whose entries are unknown
 	nextOutside     int                 // round-robin position among the members of other failure domains
 	lastHeartbeat   time.Time           // when this daemon last advanced its own heartbeat
-	// replacedSeenAt is when incarnations that have been replaced by later ones were last heard of.
-	replacedSeenAt []time.Time
+	replaced        []replacedMember    // incarnations that have been replaced by later ones
+}
+
+// replacedMember is an incarnation of a member that has been replaced by a later one.
+type replacedMember struct {
+	lastSeen         time.Time
+	declaresVersions bool
 }
 
 // peer is what the table knows of another daemon.
@@ -53,6 +58,7 @@
 	entry     *peerpb.Member // with the heartbeat at which the entry was received
 	entryID   uint32
 	heartbeat uint64
+	addedAt   time.Time // when this incarnation was first heard of
 	lastSeen  time.Time // when a heartbeat last proved the member alive
 	resumedAt time.Time // first heartbeat after a silence that is not yet confirmed; zero otherwise
 	// unreachableAt is when the member last did not answer this daemon.
@@ -139,14 +145,14 @@
 func (t *Table) addEntry(entry *peerpb.Member, now time.Time) {
 	if replaced := t.peers[entry.GetName()]; replaced != nil {
 		delete(t.nameByEntryID, replaced.entryID)
-		t.replacedSeenAt = append(t.replacedSeenAt, replaced.lastSeen)
+		t.replaced = append(t.replaced, replacedMember{replaced.lastSeen, replaced.entry.GetDeclaresVersions()})
 	} else {
 		i, _ := slices.BinarySearch(t.names, entry.GetName())
 		t.names = slices.Insert(t.names, i, entry.GetName())
 	}
 	id := entryID(entry)
 	t.nameByEntryID[id] = entry.GetName()
-	t.peers[entry.GetName()] = &peer{entry: entry, entryID: id, heartbeat: entry.GetHeartbeat(), lastSeen: now}
+	t.peers[entry.GetName()] = &peer{entry: entry, entryID: id, heartbeat: entry.GetHeartbeat(), addedAt: now, lastSeen: now}
 }
 
 // updateEntry records a newer entry of the same incarnation.
@@ -192,7 +198,7 @@
 		}
 	}
 	t.names = slices.DeleteFunc(t.names, func(name string) bool { return t.peers[name] == nil })
-	t.replacedSeenAt = slices.DeleteFunc(t.replacedSeenAt, func(seenAt time.Time) bool { return now.Sub(seenAt) > DeadMemberRetention })
+	t.replaced = slices.DeleteFunc(t.replaced, func(r replacedMember) bool { return now.Sub(r.lastSeen) > DeadMemberRetention })
 }
 
 // MayHaveLost reports whether a daemon may have been lost that was last heard of between two
@@ -205,7 +211,34 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(t.replacedSeenAt, within)
+	return slices.ContainsFunc(t.replaced, func(r replacedMember) bool { return within(r.lastSeen) })
+}
+
+// Undeclared reports whether a daemon that has been heard of since a time may have begun streams
+// at versions that it has not declared: one that does not declare any, or that started after
+// startedUntil, when it may not have been able to. Those for whose address excluded returns true
+// do not count.
+func (t *Table) Undeclared(since, startedUntil time.Time, excluded func(address string) bool) bool {
+	for _, peer := range t.peers {
+		certain := peer.entry.GetDeclaresVersions() && !peer.addedAt.After(startedUntil)
+		if !certain && !peer.lastSeen.Before(since) && !excluded(peer.entry.GetAddress()) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.replaced, func(r replacedMember) bool { return !r.declaresVersions && !r.lastSeen.Before(since) })
+}
+
+// SilentSince returns since when an incarnation of a daemon has been silent, zero if this daemon has
+// never heard of the incarnation or a later one.
+func (t *Table) SilentSince(name string, incarnation uint64) time.Time {
+	peer := t.peers[name]
+	switch {
+	case peer == nil || peer.entry.GetIncarnation() < incarnation:
+		return time.Time{}
+	case peer.entry.GetIncarnation() > incarnation:
+		return peer.addedAt
+	}
+	return peer.lastSeen
 }
 
 // alive reports whether a member is within its timeout, or within its grace period
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -227,3 +227,37 @@
 	table.RemoveExpired(at(0).Add(DeadMemberRetention + time.Second))
 	must.False(t, table.MayHaveLost(at(0), at(0), at(0)))
 }
+
+// Guards against a silent daemon whose streams are taken for those of a version that it need not have
+// begun them at: one of an earlier build, or one that started when there were several.
+func TestUndeclared(t *testing.T) {
+	const build, earlierBuild = true, false
+	at := func(seconds int) time.Time { return startTime.Add(time.Duration(seconds) * time.Second) }
+	none := func(string) bool { return false }
+	all := func(string) bool { return true }
+	for _, c := range []struct {
+		name     string
+		entries  []*peerpb.Member // one after the other, 10 s apart
+		excluded func(address string) bool
+		want     bool
+	}{
+		{"it declares versions", []*peerpb.Member{declarer("d1", 1, build)}, none, false},
+		{"of an earlier build", []*peerpb.Member{declarer("d1", 1, earlierBuild)}, none, true},
+		{"of an earlier build, but answers", []*peerpb.Member{declarer("d1", 1, earlierBuild)}, all, false},
+		{"started since", []*peerpb.Member{declarer("d1", 1, build), declarer("d2", 1, build)}, none, true},
+		{"started since, but answers", []*peerpb.Member{declarer("d1", 1, build), declarer("d2", 1, build)}, all, false},
+		{"an earlier build is replaced", []*peerpb.Member{declarer("d1", 1, earlierBuild), declarer("d1", 2, build)}, all, true},
+		{"replaced", []*peerpb.Member{declarer("d1", 1, build), declarer("d1", 2, build)}, all, false},
+	} {
+		table := newTable(0, 1)
+		for i, entry := range c.entries {
+			table.MergeEntries([]*peerpb.Member{entry}, at(10*i))
+		}
+		must.Eq(t, c.want, table.Undeclared(at(0), at(5), c.excluded), must.Sprint(c.name))
+		must.False(t, table.Undeclared(at(60), at(60), none), must.Sprint(c.name, ", silent before"))
+	}
+}
+
+func declarer(name string, incarnation uint64, declares bool) *peerpb.Member {
+	return &peerpb.Member{Name: name, Address: name, FailureDomain: "0", Incarnation: incarnation, Heartbeat: 1, DeclaresVersions: declares}
+}
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -58,6 +58,7 @@
 	unwritten []Origin          // to be written to the store by this daemon
 	services  map[string]*versions
 	record    record
+	own       declarations
 }
 
 // versions are the software versions of a service.
--- a/internal/gateway/choose_target.go
+++ b/internal/gateway/choose_target.go
@@ -100,16 +100,21 @@
 }
 
 // otherVersion reports whether a target runs another software version than the one at which
-// the request's stream began. The caller must run on the coordinator's goroutine.
-func (c *coordinator) otherVersion(a *targetAttempt, id string) bool {
-	return a.position.versionPinned && c.softwareVersions[id] != a.position.softwareVersion
+// the request's stream began, or one at which this daemon may not begin streams yet. The caller
+// must run on the coordinator's goroutine.
+func (c *coordinator) otherVersion(a *targetAttempt, id string, now time.Time) bool {
+	if a.position.versionPinned {
+		return c.softwareVersions[id] != a.position.softwareVersion
+	}
+	versions, restricted := c.begins(a, now)
+	return restricted && !slices.Contains(versions, c.softwareVersions[id])
 }
 
 // judge returns why a target does not get the request's next attempt, or that it may. Limited are the
 // targets of the service that name a limit. The caller must run on the coordinator's goroutine.
 func (c *coordinator) judge(a *targetAttempt, id string, excluded []string, limited map[string]limitUse, now time.Time) verdict.Reason {
 	switch {
-	case c.otherVersion(a, id):
+	case c.otherVersion(a, id, now):
 		return verdict.OtherVersion
 	case slices.Contains(excluded, id):
 		return verdict.Tried
@@ -167,7 +172,7 @@
 		now := time.Now()
 		for _, target := range c.placement.Candidates(a.service) {
 			id := target.ID
-			if c.otherVersion(a, id) || c.evacuated[id] || slices.Contains(sentTo, id) || c.outlier.Refusing(id, now) {
+			if c.otherVersion(a, id, now) || c.evacuated[id] || slices.Contains(sentTo, id) || c.outlier.Refusing(id, now) {
 				continue
 			}
 			unreached := c.limitWait(id, now) == 0 && (c.outlier.Held(id) || slices.Contains(a.tried, id))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -123,8 +123,13 @@
 // startPeerWith is startPeer with another way to open connections to targets.
 func (f *testFixture) startPeerWith(storeAddress string, dialTarget func(context.Context, string) (net.Conn, error)) *testFixture {
 	f.peersStarted++
+	return f.startPeerAs(fmt.Sprint("front-", 1+f.peersStarted), storeAddress, dialTarget)
+}
+
+// startPeerAs is startPeerWith with the name of the daemon's host.
+func (f *testFixture) startPeerAs(host, storeAddress string, dialTarget func(context.Context, string) (net.Conn, error)) *testFixture {
 	second := &testFixture{t: f.t, store: f.store, client: f.client, grace: f.grace, retryExtra: f.retryExtra, coldOverrun: f.coldOverrun, restarted: f.restarted, evacuations: f.evacuations, readyLimit: f.readyLimit, dialTarget: dialTarget, partition: f.partition}
-	second.startReady(platform.Settings{Host: fmt.Sprint("front-", 1+f.peersStarted), StoreAddress: storeAddress, Seeds: []string{f.daemon.peerListener.Addr().String()}})
+	second.startReady(platform.Settings{Host: host, StoreAddress: storeAddress, Seeds: []string{f.daemon.peerListener.Addr().String()}})
 	return second
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -157,6 +157,9 @@
 		LastEventID: a.position.lastEventID, Tried: a.sentTargets(), BrokenAt: a.brokenAt.Load(), Digest: a.digest,
 	}
 	description.Route.ServiceWeights = nil
+	if versions, restricted := g.coordinator.versionsToBegin(a); restricted && len(versions) > 0 {
+		description.SoftwareVersion, description.VersionPinned = versions[0], true
+	}
 	if a.workspace != nil {
 		description.Workspace = a.workspace.Name
 		if a.workspace.HasPriority {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,7 @@
 	g.pool.OnDial = g.metrics.countDial
 	g.peers = newPeers(g, selfMember(settings, peerListener, forwardListener))
 	g.coordinator.trialRank = g.peers.rankFor
+	g.coordinator.origins.SetIncarnation(g.peers.incarnation)
 	g.coordinator.limits = ratelimit.New(g.peers)
 	g.coordinator.brittle = brittle.New(g.peers)
 	g.coordinator.cold = coldstart.New(g.peers, settings.ColdOverrun, settings.ColdSlack)
@@ -133,6 +134,8 @@
 		Name:          settings.Host,
 		FailureDomain: settings.FailureDomain,
 		Incarnation:   uint64(time.Now().UnixMilli()),
+
+		DeclaresVersions: true,
 	}
 	if peerListener != nil {
 		member.Address = peerListener.Addr().String()
@@ -170,6 +173,7 @@
 		work.run(g.evacuations.watch.run)
 	}
 	work.run(g.streamRecord.run)
+	work.run(g.streamRecord.declareVersions)
 	work.serve(func(ctx context.Context) error {
 		return g.serveAdmin(ctx, "readiness", g.readyHandler(), g.readinessListener)
 	})
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -18,9 +18,25 @@
 
 // partition is the paths between daemons, which a test can cut.
 type partition struct {
-	mu    sync.Mutex
-	apart map[string]bool // addresses of the daemons on the one side
-	conns map[net.Conn][2]string
+	mu        sync.Mutex
+	apart     map[string]bool // addresses of the daemons on the one side
+	direction cutDirection
+	conns     map[net.Conn][2]string
+}
+
+// cutDirection is which connections between the two sides a partition cuts.
+type cutDirection int
+
+const (
+	bothDirections cutDirection = iota
+	fromApart                   // those that the daemons which are apart open
+	toApart                     // those that the others open to them
+)
+
+// isCut reports whether a daemon does not reach another one. The caller holds mu.
+func (p *partition) isCut(from, to string) bool {
+	return p.apart[from] != p.apart[to] &&
+		(p.direction == bothDirections || (p.direction == fromApart) == p.apart[from])
 }
 
 var errPartitioned = errors.New("partitioned")
@@ -34,7 +50,7 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.apart[from] != p.apart[to] {
+		if p.isCut(from, to) {
 			_ = conn.Close()
 			return nil, errPartitioned
 		}
@@ -52,7 +68,7 @@
 		p.apart[address] = true
 	}
 	for conn, ends := range p.conns {
-		if p.apart[ends[0]] != p.apart[ends[1]] {
+		if p.isCut(ends[0], ends[1]) {
 			_ = conn.Close()
 			delete(p.conns, conn)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -70,6 +71,9 @@
 	leavingPerExchange = 16
 )
 
+// errNoPeerDeclares says that no other daemon has written this daemon's declaration to the store.
+var errNoPeerDeclares = errors.New("no peer writes declared versions")
+
 // peers exchanges state with other daemons: membership, target loads, and what they
 // have read from the store. A daemon that need not follow the store or cannot reach it
 // gets the configuration and the list of targets from peers. A daemon whose watch is
@@ -83,7 +87,9 @@
 	roundRequested chan struct{} // signals that peers should receive a change at once
 	firstRound     chan struct{} // closed after the first round of exchanges
 	originsPending chan struct{} // signals that origins of streams are to be copied
+	wideSearches   chan struct{} // one element for each search that asks all daemons
 	startedAt      time.Time
+	incarnation    uint64
 	listBytes      *rate.Limiter // of packed lists of targets sent to peers
 
 	mu          sync.Mutex
@@ -114,7 +120,9 @@
 		roundRequested:    make(chan struct{}, 1),
 		firstRound:        make(chan struct{}),
 		originsPending:    make(chan struct{}, 1),
+		wideSearches:      make(chan struct{}, maxWideSearches),
 		startedAt:         time.Now(),
+		incarnation:       self.GetIncarnation(),
 		listBytes:         rate.NewLimiter(rate.Limit(listLinkShare*g.settings.LinkBytesPerS), listBurst),
 		table:             member.New(self),
 		lastStoreResponse: make(map[string]time.Time),
--- a/internal/gateway/preceding_version_test.go
+++ b/internal/gateway/preceding_version_test.go
@@ -47,11 +47,11 @@
 	l.daemons = l.daemons[1:]
 }
 
-// restart starts as many daemons as were lost. They know nothing.
+// restart starts the lost daemons again, under the names of their hosts. They know nothing.
 func restart(l *lossOfDaemons) {
-	for range l.lost {
+	for _, lost := range l.lost {
 		if len(l.daemons) > 0 {
-			l.daemons = append(l.daemons, l.daemons[0].startPeer(l.store.Address()))
+			l.daemons = append(l.daemons, l.daemons[0].startPeerAs(lost.daemon.settings.Host, l.store.Address(), nil))
 			continue
 		}
 		first := &testFixture{t: l.t, store: l.store, client: l.lost[0].client, grace: shortGrace, retryExtra: l.lost[0].retryExtra, restarted: true}
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -71,14 +71,15 @@
 		}
 		return true
 	}
-	if version, known := g.precedingVersion(req, search); known && recordRead {
-		g.log.Info("stream of a lost daemon goes on at the preceding version", "request", req.call.ID, "resumes", req.call.Resumes,
-			"service", req.service, "target_version", version)
-		req.start.pinVersion(version)
-		return true
+	doubt := "record not read"
+	if recordRead {
+		if doubt = g.searchPreceding(req, &search); search.Found {
+			req.start.pinVersion(search.Version)
+			return true
+		}
 	}
 	g.log.Info("stream cannot be taken up", "request", req.call.ID, "resumes", req.call.Resumes, "service", req.service,
-		"several_versions", search.SeveralVersions, "peers_answered", search.complete, "record_read", recordRead)
+		"several_versions", search.SeveralVersions, "peers_answered", search.complete, "record_read", recordRead, "doubt", doubt)
 	inVain := recordRead && search.complete
 	g.refuse(req.callerRequest, reasonUnknownOrigin, g.retryAfterLostOrigin(req, inVain))
 	req.last.reason = reasonUnknownOrigin
@@ -96,6 +97,9 @@
 	recorded := g.coordinator.resolveOrigin(req)
 	recorded.SeveralVersions = recorded.SeveralVersions || known.SeveralVersions
 	recorded.Unknown = recorded.Unknown && known.Unknown
+	if recorded.Only && len(g.declaredBeyond(req.service, recorded.Version)) > 0 {
+		recorded.SeveralVersions = true
+	}
 	return recorded, recordRead
 }
 
@@ -328,14 +332,15 @@
 	return live, silent
 }
 
-// KeepOrigins implements the drpc service: it keeps copies of another daemon's origins.
-func (p *peers) KeepOrigins(_ context.Context, remote *peerpb.StreamOrigins) (*peerpb.StreamOriginsKept, error) {
+// KeepOrigins implements the drpc service: it keeps copies of another daemon's origins, and
+// writes its declaration to the store.
+func (p *peers) KeepOrigins(ctx context.Context, remote *peerpb.StreamOrigins) (*peerpb.StreamOriginsKept, error) {
 	origins := decodeOrigins(remote)
 	p.gateway.coordinator.keepOrigins(origins)
 	if remote.GetRecord() {
 		p.gateway.coordinator.recordOriginsLater(origins)
 	}
-	return &peerpb.StreamOriginsKept{}, nil
+	return &peerpb.StreamOriginsKept{Declared: p.writeDeclaration(ctx, remote.GetDeclaringDaemon(), remote.GetDeclaration())}, nil
 }
 
 // FindOrigin implements the drpc service: it returns what this daemon knows of the origin
@@ -351,6 +356,15 @@
 		reply.Found, reply.Version = found, o.Version
 		reply.SeveralVersions = c.origins.SeveralVersions(query.GetService(), time.Now())
 	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	live := make(map[string]bool)
+	for _, daemon := range p.table.Live(now) {
+		live[daemon.GetAddress()] = true
+	}
+	reply.Incarnation = p.incarnation
+	reply.Undeclared = p.table.Undeclared(now.Add(-2*origin.Lifetime), now, func(address string) bool { return live[address] })
 	return reply, nil
 }
 
@@ -364,18 +378,42 @@
 	unanswered bool
 	// preceding are the versions that, as the others say, alone served before the present ones.
 	preceding []string
+	asked     []string // addresses of the daemons that were asked
+	// answered are the incarnations of the daemons that have answered that they do not know the
+	// stream, by address; 0 if one is not known.
+	answered map[string]uint64
+	// undeclared is set if one that has answered knows of a silent daemon that declares no versions.
+	undeclared bool
 }
 
 // findOrigin asks other daemons for the origin of the stream that a request takes up, all at
 // once, and returns what the first one knows that knows it.
 func (p *peers) findOrigin(req *relayedRequest, known origin.Resolution) originSearch {
+	asked, silent := p.originHolders(req.originKey())
+	search := originSearch{Resolution: known, asked: asked, answered: make(map[string]uint64)}
+	if p.askForOrigin(req, asked, &search); search.Found {
+		return search
+	}
+	answered := len(search.answered)
+	search.Unknown = search.Unknown && answered == 0
+	search.complete = answered > 0 && answered == len(asked) && silent == 0
+	search.unanswered = answered < len(asked)
+	return search
+}
+
+// askForOrigin asks the daemons at addresses for the origin of the stream that a request takes up,
+// and adds to the search what they answer, until one knows it.
+func (p *peers) askForOrigin(req *relayedRequest, addresses []string, search *originSearch) {
 	ctx, cancel := context.WithTimeout(req.r.Context(), originQueryTimeout)
 	defer cancel()
 	query := &peerpb.StreamOriginQuery{Request: req.originKey(), Service: req.service}
-	replies := make(chan *peerpb.StreamOriginReply)
+	type addressedReply struct {
+		*peerpb.StreamOriginReply
+		address string
+	}
+	replies := make(chan addressedReply)
 	var calls sync.WaitGroup
-	asked, silent := p.originHolders(query.GetRequest())
-	for _, address := range asked {
+	for _, address := range addresses {
 		calls.Go(func() {
 			reply, err := p.client.FindOrigin(ctx, address, query)
 			if err != nil {
@@ -383,34 +421,30 @@
 				return
 			}
 			select {
-			case replies <- reply:
+			case replies <- addressedReply{reply, address}:
 			case <-ctx.Done():
 			}
 		})
 	}
 	go func() { calls.Wait(); close(replies) }()
-	search := originSearch{Resolution: known}
-	answered := 0
 	for reply := range replies {
 		if reply.GetFound() {
-			return originSearch{Resolution: origin.Resolution{Found: true, Version: reply.GetVersion()}}
+			search.Resolution = origin.Resolution{Found: true, Version: reply.GetVersion()}
+			return
 		}
-		answered++
+		search.answered[reply.address] = reply.GetIncarnation()
 		search.SeveralVersions = search.SeveralVersions || reply.GetSeveralVersions()
+		search.undeclared = search.undeclared || reply.GetUndeclared()
 		if reply.PrecedingVersion != nil {
 			search.preceding = append(search.preceding, reply.GetPrecedingVersion())
 		}
 	}
-	search.Unknown = search.Unknown && answered == 0
-	search.complete = answered > 0 && answered == len(asked) && silent == 0
-	search.unanswered = answered < len(asked)
-	return search
 }
 
-// precedingVersion returns the version at which a stream began that nobody knows although
-// several versions serve, if that follows from all that is known: its daemon was lost before it
-// had heard of a second version, or it would have copied and recorded the origin. The caller
-// must have read the record.
+// precedingVersion returns the version at which a stream that nobody knows may have begun although
+// several versions serve: its daemon was lost before it had heard of a second one, or it would have
+// copied and recorded the origin. Whether no other daemon may have begun it, mayHaveBegunElsewhere
+// decides. The caller must have read the record.
 func (g *Gateway) precedingVersion(req *relayedRequest, search originSearch) (version string, known bool) {
 	versions := search.preceding
 	if own, mayBeLost := g.peers.lostAtPreceding(req.service); mayBeLost || own != nil && search.unanswered {
--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -50,10 +51,16 @@
 type streamRecord struct {
 	gateway *Gateway
 	stale   chan struct{} // signals that the store was restored from a copy
+	// declarable is set once this daemon knows what its earlier incarnations have declared.
+	declarable atomic.Bool
 
-	mu          sync.Mutex
-	refreshedAt time.Time      // when the last read for callers began
-	next        *recordRefresh // that has not begun yet; nil if there is none
+	mu           sync.Mutex
+	era          int64     // of the store, at the last read
+	restoredAt   time.Time // when the store was last restored, as far as this daemon has noticed
+	versions     map[string]recordedVersions
+	declarations declarations
+	refreshedAt  time.Time      // when the last read for callers began
+	next         *recordRefresh // that has not begun yet; nil if there is none
 }
 
 // recordRefresh is a read of the record for callers.
@@ -114,8 +121,13 @@
 			err = r.reloadOrigins(ctx)
 		}
 		if err == nil {
+			err = r.loadDeclarations(ctx)
+		}
+		if err == nil {
+			r.restoreDeclaration()
 			return
 		}
+		r.gateway.coordinator.do(func() { r.gateway.coordinator.origins.DeclarationFailed() })
 		r.gateway.log.Info("record of streams cannot be read", "error", err)
 		sleep(ctx, recordRetryDelay)
 	}
@@ -123,11 +135,12 @@
 
 // loadVersions reads which versions served lately, and reports whether a service has several.
 func (r *streamRecord) loadVersions(ctx context.Context) (several bool, err error) {
-	list, _, err := r.gateway.store.List(ctx, kindVersions, false)
+	list, asOf, err := r.gateway.store.List(ctx, kindVersions, false)
 	if err != nil {
 		return false, err
 	}
 	recorded := make(map[string]origin.Recorded)
+	versions := make(map[string]recordedVersions)
 	for _, object := range list {
 		var stored storedVersions
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
@@ -135,8 +148,15 @@
 			continue // as if it was lost
 		}
 		recorded[object.Name] = origin.Recorded(stored)
+		versions[object.Name] = recordedVersions{recorded[object.Name], object.Revision}
 		several = several || len(stored.Versions) > 1
 	}
+	r.mu.Lock()
+	if r.versions != nil && asOf.Era != r.era {
+		r.restoredAt = time.Now()
+	}
+	r.era, r.versions = asOf.Era, versions
+	r.mu.Unlock()
 	r.gateway.coordinator.do(func() {
 		r.gateway.coordinator.origins.LoadRecord(recorded, r.gateway.settings.FirstStart, time.Now())
 	})
@@ -206,6 +226,9 @@
 	if refresh.err == nil {
 		refresh.err = r.reloadOrigins(ctx)
 	}
+	if refresh.err == nil {
+		refresh.err = r.loadDeclarations(ctx)
+	}
 	if refresh.err != nil {
 		r.gateway.log.Info("record of streams cannot be read", "error", refresh.err)
 	}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -66,6 +66,17 @@
 	})
 }
 
+// DeclareVersions asks the daemon at an address to write a declaration of software versions to the
+// platform's store, and reports whether it has. One of an earlier build has not.
+func (c *Client) DeclareVersions(ctx context.Context, address string, declaration *peerpb.StreamOrigins) (declared bool, err error) {
+	err = c.call(ctx, "declare software versions", address, func(ctx context.Context, peer peerpb.DRPCMeshClient) error {
+		reply, err := peer.KeepOrigins(ctx, declaration)
+		declared = reply.GetDeclared()
+		return err
+	})
+	return declared, err
+}
+
 // FindOrigin asks the daemon at an address for the origin of a stream.
 func (c *Client) FindOrigin(ctx context.Context, address string, query *peerpb.StreamOriginQuery) (reply *peerpb.StreamOriginReply, err error) {
 	err = c.call(ctx, "find the origin of a stream", address, func(ctx context.Context, peer peerpb.DRPCMeshClient) error {
