placement: daemons tell each other their requests in progress

Cause: at the start of the traffic engines read prompts first, and the heads of answers, which report the load, come a second or more after the requests. Of 45 requests to engines over the bound, the senders had no report for 15, one of 1 s or more for 22. 33 daemons saw idle engines and all sent there; the mean load, by which the bound rises, was as wrong.

Change: in fleets of 2 to 128, each exchange names what the sender has in progress, by target and by service. The estimate of a load without a fresh report is what is known of it and, for daemons not heard of lately, the mean of a gamma posterior. While few daemons have been heard of, engines are skipped from the mean + 3 on. Fields are only added; a daemon that tells nothing counts as not heard of.

Why this works: a request is known to the fleet when it is sent, not when its answer begins; what is not known yet has its share in the bound.

--- a/internal/coordination/member/gossip.go
+++ b/internal/coordination/member/gossip.go
@@ -16,6 +16,18 @@
 // attempt to reach a host that is cut off or has no power takes until a timeout.
 const unreachableTime = 3 * time.Second
 
+// RecentCount returns the number of daemons that have not been silent for the rank timeout, including
+// this one. Unlike the live ones, these hardly change while entries take their way through a large fleet.
+func (t *Table) RecentCount(now time.Time) int {
+	count := 1
+	for _, peer := range t.peers {
+		if now.Sub(peer.lastSeen) < t.rankTimeout() {
+			count++
+		}
+	}
+	return count
+}
+
 // GossipPeers returns the daemons to gossip with: a random other daemon of this daemon's
 // failure domain and a random one of the other domains, if there are any. So the cost
 // of a gossip round does not depend on the size of the fleet. It leaves out those that
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -33,6 +33,10 @@
 	// headroom is there because load reports arrive late.
 	loadBoundFactor = 1.7
 	loadBoundSlack  = 3.0
+	// uninformedBoundFactor takes the place of loadBoundFactor if the requests of informedLeast of the
+	// daemons or fewer are known. Between that and all, the factor rises linearly.
+	uninformedBoundFactor = 1.0
+	informedLeast         = 0.8
 	// remoteDomainPenalty is added to the load of targets in other failure domains,
 	// in requests, when a target is chosen for a request without a session.
 	remoteDomainPenalty = 2.0
@@ -68,6 +72,7 @@
 	holders     holders
 	createdAt   time.Time
 	speeds      *speed.Tracker
+	fleet       fleetLoad
 	estimates   []float64 // loads of the candidates of a choice by speed
 }
 
@@ -204,7 +209,8 @@
 	if c == nil {
 		return 0, 0
 	}
-	return c.load.estimate(now.Sub(t.createdAt)), c.target.Slots
+	elapsed := now.Sub(t.createdAt)
+	return c.load.estimate(elapsed, t.serviceLoad(c.target.Service, elapsed)), c.target.Slots
 }
 
 // RecordStart records that a request is sent to a target.
@@ -263,13 +269,14 @@
 // same load.
 func (t *Table) chooseLeastLoaded(candidates []*candidate, query Query, now time.Time) Choice {
 	elapsed := now.Sub(t.createdAt)
+	service := t.serviceLoad(query.Service, elapsed)
 	var best *candidate
 	bestCost, totalLoad, count := 0.0, 0.0, 0
 	for _, c := range candidates {
 		if c.target.Draining {
 			continue
 		}
-		estimate := c.load.estimate(elapsed)
+		estimate := c.load.estimate(elapsed, service)
 		totalLoad += estimate
 		count++
 		if query.Excluded(c.target.ID) || query.Limited != nil && c.full(estimate) {
@@ -283,7 +290,7 @@
 			best, bestCost = c, cost
 		}
 	}
-	return newChoice(best, nil, totalLoad, count, elapsed)
+	return newChoice(best, nil, totalLoad, count, elapsed, service)
 }
 
 // drawFor returns the part of a request's draw that belongs to a candidate: a number in
@@ -309,6 +316,7 @@
 	var leastLoaded *candidate
 	lowestLoad, totalLoad, count := 0.0, 0.0, 0
 	elapsed := now.Sub(t.createdAt)
+	service := t.serviceLoad(query.Service, elapsed)
 	for _, c := range candidates {
 		entry := ranked{c, ranking.Mix(query.Session ^ c.idHash)}
 		if entry.ranksAbove(home) && query.Reachable(c.target.ID) {
@@ -317,7 +325,7 @@
 		if c.target.Draining {
 			continue
 		}
-		estimate := c.load.estimate(elapsed)
+		estimate := c.load.estimate(elapsed, service)
 		if query.Limited == nil || !query.Limited(c.target.ID) {
 			totalLoad += estimate
 			count++
@@ -338,18 +346,18 @@
 		return Choice{}
 	}
 	chosen := leastLoaded
-	limit := loadBoundFactor*totalLoad/float64(max(1, count)) + loadBoundSlack
+	limit := service.boundFactor()*totalLoad/float64(max(1, count)) + loadBoundSlack
 	for i, entry := range preferred {
-		if entry.candidate != nil && entry.candidate.load.estimate(elapsed) < limit {
-			chosen = t.soonestPreferred(preferred[i:], limit, query, now)
+		if entry.candidate != nil && entry.candidate.load.estimate(elapsed, service) < limit {
+			chosen = t.soonestPreferred(preferred[i:], limit, query, now, service)
 			break
 		}
 	}
-	choice := newChoice(chosen, t.fetchSource(chosen, home.candidate, query, now), totalLoad, count, elapsed)
+	choice := newChoice(chosen, t.fetchSource(chosen, home.candidate, query, now), totalLoad, count, elapsed, service)
 	_, sent := t.dispatches[dispatch{query.Session, chosen}]
 	choice.NewSession = !sent
 	if homeCandidate := home.candidate; homeCandidate != nil {
-		choice.Home, choice.HomeLoad = homeCandidate.target, homeCandidate.load.estimate(elapsed)
+		choice.Home, choice.HomeLoad = homeCandidate.target, homeCandidate.load.estimate(elapsed, service)
 	}
 	return choice
 }
@@ -430,11 +438,11 @@
 
 // newChoice returns the choice of a candidate that may fetch the prompt from source,
 // or the zero value if chosen is nil. TotalLoad is the load of count targets.
-func newChoice(chosen, source *candidate, totalLoad float64, count int, elapsed time.Duration) Choice {
+func newChoice(chosen, source *candidate, totalLoad float64, count int, elapsed time.Duration, service serviceLoad) Choice {
 	if chosen == nil {
 		return Choice{}
 	}
-	choice := Choice{Target: chosen.target, Load: chosen.load.estimate(elapsed), MeanLoad: totalLoad / float64(max(1, count))}
+	choice := Choice{Target: chosen.target, Load: chosen.load.estimate(elapsed, service), MeanLoad: totalLoad / float64(max(1, count))}
 	if chosen.speed != nil {
 		choice.Slowness = chosen.speed.Slowness(choice.Load, elapsed)
 	}
--- a/internal/coordination/placement/soonest.go
+++ b/internal/coordination/placement/soonest.go
@@ -43,10 +43,11 @@
 // target above the load bound only if chooseLeastLoaded would.
 func (t *Table) chooseSoonest(candidates []*candidate, query Query, now time.Time) Choice {
 	s := soonest{table: t, query: query, elapsed: now.Sub(t.createdAt), at: t.speeds.Elapsed(now)}
+	service := t.serviceLoad(query.Service, s.elapsed)
 	t.estimates = t.estimates[:0]
 	totalLoad, count, known := 0.0, 0, 0
 	for _, c := range candidates {
-		estimate := c.load.estimate(s.elapsed)
+		estimate := c.load.estimate(s.elapsed, service)
 		t.estimates = append(t.estimates, estimate)
 		if c.target.Draining {
 			continue
@@ -57,7 +58,7 @@
 			known++
 		}
 	}
-	s.limit = loadBoundFactor*totalLoad/float64(max(1, count)) + loadBoundSlack
+	s.limit = service.boundFactor()*totalLoad/float64(max(1, count)) + loadBoundSlack
 	if 2*known >= count || query.Draw == 0 {
 		for i, c := range candidates {
 			s.consider(c, t.estimates[i])
@@ -68,7 +69,7 @@
 	if s.best == nil {
 		return t.chooseLeastLoaded(candidates, query, now)
 	}
-	return newChoice(s.best, nil, totalLoad, count, s.elapsed)
+	return newChoice(s.best, nil, totalLoad, count, s.elapsed, service)
 }
 
 // loadKnown reports whether the target's last report is recent enough for its load to be known.
@@ -162,20 +163,20 @@
 
 // soonestPreferred returns the first of a session's preferred engines, or the one of the others below
 // the load bound that is expected to bring the first event soonest, if that is clearly sooner.
-func (t *Table) soonestPreferred(preferred []ranked, limit float64, query Query, now time.Time) *candidate {
+func (t *Table) soonestPreferred(preferred []ranked, limit float64, query Query, now time.Time, service serviceLoad) *candidate {
 	first := preferred[0].candidate
 	if !t.speeds.Active(query.Service) {
 		return first
 	}
-	atFirst := t.firstEventTime(first, query, now)
+	atFirst := t.firstEventTime(first, query, now, service)
 	best, shortest := first, min(time.Duration(soonerFactor*float64(atFirst)), atFirst-minGain)
 	for _, entry := range preferred[1:] {
 		c := entry.candidate
 		// An engine of unknown load would seem idle, to all daemons at once.
-		if c == nil || !c.loadKnown(now.Sub(t.createdAt)) || c.load.estimate(now.Sub(t.createdAt)) >= limit {
+		if c == nil || !c.loadKnown(now.Sub(t.createdAt)) || c.load.estimate(now.Sub(t.createdAt), service) >= limit {
 			continue
 		}
-		if expected := t.firstEventTime(c, query, now); expected < shortest {
+		if expected := t.firstEventTime(c, query, now, service); expected < shortest {
 			best, shortest = c, expected
 		}
 	}
@@ -184,7 +185,7 @@
 
 // firstEventTime returns how long an engine is expected to take until the first event of a session's
 // request.
-func (t *Table) firstEventTime(c *candidate, query Query, now time.Time) time.Duration {
+func (t *Table) firstEventTime(c *candidate, query Query, now time.Time, service serviceLoad) time.Duration {
 	shared := float64(sharedTokens(query.Parts))
 	held, elsewhere := t.holdsPrompt(c, query)
 	switch {
@@ -194,7 +195,7 @@
 		shared *= fetchShare
 	}
 	tokens := query.Parts[len(query.Parts)-1].Tokens + int(shared)
-	return c.speed.FirstEventTime(query.Route, tokens, c.load.estimate(now.Sub(t.createdAt))+1, t.speeds.Elapsed(now))
+	return c.speed.FirstEventTime(query.Route, tokens, c.load.estimate(now.Sub(t.createdAt), service)+1, t.speeds.Elapsed(now))
 }
 
 // holdsPrompt reports whether an engine is known to hold a session's prompt, and whether another one is.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -306,6 +306,9 @@
 		state.Loads = append(state.Loads, uint32(load.Requests))
 		state.LoadAgesMs = append(state.LoadAgesMs, uint32(load.Age.Milliseconds()))
 	}
+	if holders > 0 {
+		encodeInProgress(state, p.gateway.coordinator.ownInProgress(p.recentDaemons()))
+	}
 	for _, holder := range p.gateway.coordinator.takeUnsentHolders(holders) {
 		state.PromptSessions = append(state.PromptSessions, holder.SessionHash)
 		state.PromptTargets = append(state.PromptTargets, holder.TargetHash)
@@ -396,6 +399,7 @@
 	p.mergeConfig(remote)
 	p.gateway.evacuations.merge(remote)
 	p.gateway.coordinator.mergeLoads(decodeLoads(remote), decodeHolders(remote))
+	p.gateway.coordinator.mergeInProgress(senderOf(remote), decodeInProgress(remote))
 	if age := remote.GetStoreReturnAgeMs(); age > 0 {
 		p.gateway.targets.recordStoreReturnOfPeer(time.Now().Add(-time.Duration(age) * time.Millisecond))
 	}
