exchange: the end of a reset connection is not that of an answer

Cause: one goroutine writes a long request while another reads the answer. The kernel reports a reset once; if the write gets it, the read sees an orderly end, which ends an answer without a length. The result of the write was not looked at.

Change: such an end counts only if the request was written without an error and its bytes are acknowledged, or the target keeps the connection (waited for 0.5 s). Errors, status 300 and more, are passed on as before.

Why this works: a target that has closed its connection cannot have received what is written or acknowledged later; each of the three ways in which the kernel reports that is looked at.

--- /dev/null
+++ b/internal/gateway/early_answer_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"hemlockknot/platform"
+	"hemlockknot/platform/standin"
+)
+
+// uploadSizes are sizes of long bodies: more than a connection takes at once, and more than its buffers.
+var uploadSizes = []int{60_000, 900_000}
+
+// uploadRoutes are the ways of a request to its target.
+var uploadRoutes = []struct {
+	name   string
+	direct bool
+}{{"direct", true}, {"by way of another daemon", false}}
+
+// uploadsOfEachKind returns cases of long uploads to targets that answer them in the same way.
+func uploadsOfEachKind(answer standin.ScriptedAnswer, name string, repeats int) []answerCase {
+	var cases []answerCase
+	for _, path := range kinds {
+		for _, size := range uploadSizes {
+			for number := range repeats {
+				var answers []standin.ScriptedAnswer
+				for range linkedEngines {
+					answers = append(answers, answer)
+				}
+				cases = append(cases, answerCase{
+					name:    fmt.Sprintf("%s, %s, %d bytes, %d", path, name, size, number),
+					call:    standin.CallerRequest{Path: path, Body: strings.Repeat("x", size)},
+					answers: answers, mayBeLeft: linkedEngines,
+				})
+			}
+		}
+	}
+	return cases
+}
+
+// Guards against a part of an answer that its caller takes for the whole one: a target answers a long upload at once,
+// without a length, and resets the connection while the rest is being written (issue 55, MIXED).
+func TestPartOfAnEarlyAnswerToAnUploadIsNotWhole(t *testing.T) {
+	half := func(head, body string) int { return len(head) + len(body)/2 }
+	firstEvents := func(head, _ string) int { return len(head) + 2*len(standin.EventText(1)) }
+	for _, framing := range []standin.Framing{standin.FramedByConnection, standin.FramedByChunks, standin.FramedByLength} {
+		var cases []answerCase
+		for _, reset := range []bool{true, false} {
+			name := fmt.Sprintf("framing %d, reset %t", framing, reset)
+			cut := standin.ScriptedAnswer{Framing: framing, Early: true, Reset: reset, Cut: half}
+			cases = append(cases, uploadsOfEachKind(cut, name+", half", 3)...)
+			cut.Cut = firstEvents
+			cases = append(cases, uploadsOfEachKind(cut, name+", between events", 3)...)
+		}
+		for _, route := range uploadRoutes {
+			t.Run(fmt.Sprintf("framing %d, %s", framing, route.name), func(t *testing.T) {
+				fleet := newUploadFleet(t, route.direct)
+				mustBeSound(t, cases, fleet.checkAnswers(0, cases))
+			})
+		}
+	}
+}
+
+// The whole answer to an upload that is read to its end must come whole, however it is framed.
+func TestAnswerToAnUploadComesWhole(t *testing.T) {
+	fleet := newUploadFleet(t, true)
+	script := standin.NewScript(fleet.targets...)
+	for _, framing := range []standin.Framing{standin.FramedByConnection, standin.FramedByChunks, standin.FramedByLength} {
+		for _, c := range uploadsOfEachKind(standin.ScriptedAnswer{Framing: framing}, "whole", 8) {
+			call := c.call
+			call.Method, call.ID = "POST", fmt.Sprintf("whole-%d-%s", framing, strings.NewReplacer("/", "-", ",", "", " ", "-").Replace(c.name))
+			script.Set(call.ID, c.answers...)
+			whole := "answer to " + call.ID
+			if isStream(call.Path) {
+				whole = streamAfter(0)
+			}
+			if end := fleet.daemons[0].ask(call); end.status != http.StatusOK || !end.complete || end.body != whole {
+				t.Errorf("%s: status %d, complete %t, body %q", call.ID, end.status, end.complete, end.body)
+			}
+		}
+	}
+}
+
+// newUploadFleet starts daemons that take long bodies. Their connections to targets are direct, as a link would read
+// what a target leaves unread. The first daemon reaches no target unless direct is set.
+func newUploadFleet(t *testing.T, direct bool) *linkedFleet {
+	f, writers, desks := prepareFixture(t, retryForEachCase)
+	f.store.Put(platform.KindDocument, platform.DocumentName, standin.DocumentWithMaxBody(1, 4<<20))
+	f.start()
+	fleet := &linkedFleet{t: t, targets: append(writers[:], desks[:]...), daemons: []*testFixture{f}}
+	if direct {
+		return fleet
+	}
+	refused := func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	fleet.daemons = []*testFixture{f.startPeerWith(f.store.Address(), refused), f}
+	unreached := fleet.daemons[0].daemon.coordinator.unreached
+	for i := 0; !unreached("writers") || !unreached("desk"); i++ {
+		must.Less(t, 200, i)
+		_ = fleet.call(0, kinds[i%len(kinds)], fmt.Sprint("onset-", i))
+	}
+	return fleet
+}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -19,6 +19,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"hemlockknot/internal/transport/socket"
 )
 
 // Limits of exchanges.
@@ -41,6 +43,11 @@
 	maxInlineBody = 2 << 10
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
+	// writeErrorWait is how long the end of a connection is not taken for that of an answer while the
+	// request is still being written. The error of a write comes with the end or before it.
+	writeErrorWait = 500 * time.Millisecond
+	// deliveryPollInterval is the time between two looks at what of the request is on its way.
+	deliveryPollInterval = time.Millisecond
 )
 
 // Request is a request to a target.
@@ -97,7 +104,8 @@
 	body          io.ReadCloser
 	conn          *conn
 	pool          *Pool
-	writeResult   <-chan error  // nil if the request was written before the answer was read
+	writeResult   <-chan error  // nil if the request was written before the answer was read, or its result is known
+	writeErr      error         // the result, once it is known
 	stopInterrupt func() bool   // unlinks the exchange from the context; false if the context has ended
 	idleTimeout   time.Duration // how long the connection may stay in the pool
 	begun         bool          // a byte of the body has been read
@@ -257,7 +265,9 @@
 
 // Read reads the body. If the body is truncated, Read returns an error other than
 // io.EOF. So it does if a success that ends with its connection has no body at all: nothing
-// tells it from an answer whose target stopped after the head.
+// tells it from an answer whose target stopped after the head. And so it does if the target has not
+// received the whole request: the kernel reports a reset once, so that a read may see an orderly
+// end after a write has met the reset, and not at all if an orderly end came before.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
 	a.begun = a.begun || n > 0
@@ -267,6 +277,9 @@
 	if !a.begun && !a.Framed && a.Status < http.StatusMultipleChoices {
 		return 0, io.ErrUnexpectedEOF
 	}
+	if !a.Framed && a.Status < http.StatusMultipleChoices && a.requestLost() {
+		return n, fmt.Errorf("%w: the request was not received whole", io.ErrUnexpectedEOF)
+	}
 	a.atEOF = true
 	return n, err
 }
@@ -291,14 +304,51 @@
 // answers early may read the rest of the request later, so a connection with an
 // unfinished request must not carry another one.
 func (a *Answer) fullyWritten() bool {
+	a.pollWrite(0)
+	return a.writeResult == nil && a.writeErr == nil
+}
+
+// requestLost reports, after the end of an answer, whether the target has closed the connection before it
+// had received the whole request. It waits until that is known, for writeErrorWait at most: a
+// target may also end its answer and go on reading, or leave the rest unread.
+func (a *Answer) requestLost() bool {
+	until := time.Now().Add(writeErrorWait)
+	a.pollWrite(writeErrorWait)
+	for a.writeErr == nil && a.writeResult == nil {
+		switch socket.DeliveryOf(a.conn.Conn) {
+		case socket.Delivered:
+			return false
+		case socket.Lost:
+			return true
+		}
+		if time.Now().After(until) {
+			return false
+		}
+		time.Sleep(deliveryPollInterval)
+	}
+	return a.writeErr != nil
+}
+
+// pollWrite takes the result of the write if it comes within a time.
+func (a *Answer) pollWrite(wait time.Duration) {
 	if a.writeResult == nil {
-		return true
+		return
 	}
 	select {
-	case err := <-a.writeResult:
-		return err == nil
+	case a.writeErr = <-a.writeResult:
+		a.writeResult = nil
+		return
 	default:
-		return false
+	}
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case a.writeErr = <-a.writeResult:
+		a.writeResult = nil
+	case <-timer.C:
 	}
 }
 
