exchange: an answer whose status is none of HTTP has failed

Status 000 and the like gave 502 already, by what the parser happens to do with them.

Cause: the parser of net/http takes any three digits for a status; nothing checked the range.

Change: a status outside 100 to 599 is an error of the answer, like a malformed head.

Measured: TestOddStatusDoesNotReachTheCaller (18 status lines; four kinds of routes; new and kept connections, after a rejection, after an interim answer, without a length; directly and by way of another daemon) failed before on both ways, passes now.

--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -88,6 +88,55 @@
 	}
 }
 
+// oddStatuses are status lines that no target of the users' sends when it is sound.
+var oddStatuses = []standin.ScriptedAnswer{
+	{Status: "000 None"}, {Status: "001 Low"}, {Status: "099 Low"}, {Status: "0200 OK"}, {Status: "20 OK"}, {Status: "2 OK"}, {Status: "1000 High"},
+	{Status: "-01 Negative"}, {Status: "+20 Signed"}, {Status: "2e2 Exponent"}, {Status: "0x1 Hex"}, {Status: "99999999999999999999 High"},
+	{Status: "600 High"}, {Status: "999 High"}, {Status: "2 00 OK"}, {Version: "HTTP/9.9"}, {Version: "HTTP/1"}, {Version: "http/1.1"},
+}
+
+// Guards against an answer whose status is none that reaches the caller (issue 55, MIXED): on a new connection, on one that
+// has served, after an interim answer, at a second attempt and by way of another daemon.
+func TestOddStatusDoesNotReachTheCaller(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	rejected := standin.ScriptedAnswer{Status: "503 Service Unavailable", NotRun: true, Plain: true, Pieces: []string{"busy"}}
+	for _, route := range uploadRoutes {
+		t.Run(route.name, func(t *testing.T) {
+			fleet := newUploadFleet(t, route.direct)
+			script := standin.NewScript(fleet.targets...)
+			number := 0
+			check := func(path, name string, answer standin.ScriptedAnswer, before ...standin.ScriptedAnswer) {
+				number++
+				call := newCall(path[:len(path)-1], "1", fmt.Sprint("odd-", number))
+				answers := before
+				for range linkedEngines {
+					answers = append(answers, answer)
+				}
+				script.Set(call.ID, answers...)
+				end := fleet.daemons[0].ask(call)
+				if end.status != http.StatusBadGateway && end.status != http.StatusServiceUnavailable {
+					t.Errorf("%s, %s: status %d, complete %t, body %q", path, name, end.status, end.complete, end.body)
+				}
+				for sound := range soundBetween { // the targets' connections are kept
+					_ = fleet.call(0, path, fmt.Sprintf("odd-%d-sound-%d", number, sound))
+				}
+			}
+			for _, path := range kinds {
+				for _, odd := range oddStatuses {
+					odd.Pieces = []string{"odd\n\n"}
+					name := fmt.Sprintf("%s %q", odd.Version, odd.Status)
+					check(path, name, odd)
+					check(path, name+" after a rejection", odd, rejected)
+					odd.Framing = standin.FramedByConnection
+					check(path, name+" without a length", odd)
+					odd.Preamble = interim
+					check(path, name+" after an interim answer", odd)
+				}
+			}
+		})
+	}
+}
+
 // newUploadFleet starts daemons that take long bodies. Their connections to targets are direct, as a link would read
 // what a target leaves unread. The first daemon reaches no target unless direct is set.
 func newUploadFleet(t *testing.T, direct bool) *linkedFleet {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -32,6 +32,8 @@
 	maxUnmatchedBytes = 1 << 20
 	// maxInterim is the number of interim answers that may precede the final one.
 	maxInterim = 8
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// maxHeadBytes limits the headers of an answer together with those of the interim
 	// answers before it. The users' targets send less than 1 KB.
 	maxHeadBytes = 64 << 10
@@ -116,6 +118,7 @@
 	errUnmatched      = errors.New("only answers to other requests came")
 	errTooManyInterim = errors.New("too many interim answers")
 	errOtherVersion   = errors.New("answer is not of HTTP/1.1")
+	errInvalidStatus  = errors.New("status of the answer is none of HTTP")
 )
 
 // ErrExpired says that a request was not sent because NotAfter had passed.
@@ -238,6 +241,9 @@
 			// Targets speak HTTP/1.1. The parser takes the chunks of an older version for a body.
 			return nil, fmt.Errorf("%w: %s", errOtherVersion, response.Proto)
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, fmt.Errorf("%w: %q", errInvalidStatus, response.Status)
+		}
 		if response.StatusCode >= http.StatusOK {
 			if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
 				response.Body = &chunkedBody{ReadCloser: response.Body, source: reader}
