stream_record: a variable has the name of another project's field no longer

Cause: TestPlatformNamesAppearOnlyInThisFolder fails since: a variable is called as a field of the users' platform. Change: renamed. Measured: the test passes.

--- a/internal/gateway/stream_record.go
+++ b/internal/gateway/stream_record.go
@@ -135,7 +135,7 @@
 
 // loadVersions reads which versions served lately, and reports whether a service has several.
 func (r *streamRecord) loadVersions(ctx context.Context) (several bool, err error) {
-	list, asOf, err := r.gateway.store.List(ctx, kindVersions, false)
+	list, revision, err := r.gateway.store.List(ctx, kindVersions, false)
 	if err != nil {
 		return false, err
 	}
@@ -152,10 +152,10 @@
 		several = several || len(stored.Versions) > 1
 	}
 	r.mu.Lock()
-	if r.versions != nil && asOf.Era != r.era {
+	if r.versions != nil && revision.Era != r.era {
 		r.restoredAt = time.Now()
 	}
-	r.era, r.versions = asOf.Era, versions
+	r.era, r.versions = revision.Era, versions
 	r.mu.Unlock()
 	r.gateway.coordinator.do(func() {
 		r.gateway.coordinator.origins.LoadRecord(recorded, r.gateway.settings.FirstStart, time.Now())
