placement: what is remembered of the parts of prompts is bounded

Cause: the map from parts to the engines that they were last sent to was cleared only with the 50,000 dispatches, and its keys kept the heads of their requests in memory.

Change: hashes for keys, 50,000 parts at most, 64 of a prompt.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -58,6 +58,11 @@
 	// maxDispatches bounds the recorded dispatches. When they are discarded,
 	// engines are told to fetch prompts that they already hold.
 	maxDispatches = 50_000
+	// maxLastTargets bounds the parts of prompts whose last engines are remembered, and
+	// maxRememberedParts those of one prompt: the first ones, which other prompts share. When they are
+	// discarded, the beginnings of prompts are read again.
+	maxLastTargets     = 50_000
+	maxRememberedParts = 64
 )
 
 // Table holds the candidates of all services and their loads. It is not safe for
@@ -68,7 +73,7 @@
 	byID        map[string]*candidate
 	byHash      map[uint32]*candidate // by the low 32 bits of the hash of the id
 	dispatches  map[dispatch]struct{} // sessions that this daemon has sent to engines
-	lastTarget  map[string]*candidate // by id of a prompt's part: the engine that this daemon last sent it to
+	lastTarget  map[uint64]*candidate // by hash of the id of a prompt's part: the engine that this daemon last sent it to
 	holders     holders
 	createdAt   time.Time
 	speeds      *speed.Tracker
@@ -136,7 +141,7 @@
 		services:    make(map[string][]*candidate),
 		byID:        make(map[string]*candidate),
 		dispatches:  make(map[dispatch]struct{}),
-		lastTarget:  make(map[string]*candidate),
+		lastTarget:  make(map[uint64]*candidate),
 		holders:     holders{bySession: make(map[uint32][]sessionHolder)},
 		createdAt:   now,
 		speeds:      speed.New(rand.Uint64(), now),
@@ -225,8 +230,11 @@
 	}
 	t.recordDispatch(dispatch{query.Session, c})
 	t.holders.record(uint32(query.Session), c, now.Sub(t.createdAt), sharedTokens(query.Parts))
-	for _, part := range query.Parts[:len(query.Parts)-1] {
-		t.lastTarget[part.ID] = c
+	for _, part := range query.Parts[:min(len(query.Parts)-1, maxRememberedParts)] {
+		if len(t.lastTarget) >= maxLastTargets {
+			clear(t.lastTarget)
+		}
+		t.lastTarget[xxhash.Sum64String(part.ID)] = c // not the id, which keeps the request's header in memory
 	}
 }
 
@@ -386,7 +394,7 @@
 			return previous
 		}
 	}
-	for i := len(shared) - 2; i >= 0; i-- {
+	for i := min(len(shared)-1, maxRememberedParts) - 1; i >= 0; i-- {
 		if last := t.lastTargetFor(shared[i], query); last != nil && last != chosen {
 			return last
 		}
@@ -429,7 +437,7 @@
 // lastTargetFor returns the engine to which this daemon last sent a part of a
 // prompt, or nil if that engine is gone or not reachable.
 func (t *Table) lastTargetFor(part relay.PromptPart, query Query) *candidate {
-	last := t.lastTarget[part.ID]
+	last := t.lastTarget[xxhash.Sum64String(part.ID)]
 	if last == nil || t.byID[last.target.ID] != last || !query.Reachable(last.target.ID) {
 		return nil
 	}
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -222,3 +224,40 @@
 		table.RecordStart(home, query, start)
 	}
 }
+
+// Guards against prompts of many parts, no two alike, that fill the memory of the host: what is remembered of
+// parts had no bound, and kept the headers of their requests (review 2, case 7).
+func TestPartsOfPromptsDoNotFillTheMemory(t *testing.T) {
+	const (
+		requests, partsEach = 3000, 1900
+		allowed             = 16 << 20
+	)
+	table := NewTable("north", start)
+	table.SetMembers(members(12))
+	before := heapInUse()
+	for number := range requests {
+		var header strings.Builder
+		for part := range partsEach {
+			_, _ = fmt.Fprintf(&header, "%04x%04x", number, part)
+		}
+		query := session("x")
+		query.Parts = nil
+		for part := range partsEach {
+			query.Parts = append(query.Parts, relay.PromptPart{ID: header.String()[8*part : 8*part+8], Tokens: 1})
+		}
+		query.Session = SessionKey(query.Parts)
+		choice := table.Choose(query, start)
+		table.RecordStart(choice.Target.ID, query, start)
+		table.RecordEnd(choice.Target.ID)
+	}
+	must.Less(t, allowed, heapInUse()-before)
+	runtime.KeepAlive(table)
+}
+
+// heapInUse returns the size of the live heap, in bytes.
+func heapInUse() int {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
