gateway: a declaration counts as written only if a daemon says so

Cause: of the daemons that are asked to write a declaration, the last one's answer without an error counted as success, also if it was of an earlier build and had written nothing. A daemon that does not reach the store would then have begun streams at a version that the store does not hold.

Change: only an answer that says so counts.

--- a/internal/gateway/stream_declaration.go
+++ b/internal/gateway/stream_declaration.go
@@ -28,9 +28,6 @@
 	// declarationHelpers is how many other daemons are asked to write the declaration of one that
 	// cannot.
 	declarationHelpers = 3
-	// maxWideSearches bounds the searches at the same time that ask all daemons for the origin of
-	// a stream.
-	maxWideSearches = 16
 )
 
 // declarations are the declarations of all daemons, by name, as read from the store.
@@ -106,84 +103,6 @@
 	return !d.earlier && time.Since(silentSince) > 2*origin.Lifetime
 }
 
-// searchPreceding searches on for the origin of a stream that nobody knows of those asked so far
-// although several versions serve. If it is certain that the stream began at the preceding version,
-// the search has found that; searchPreceding returns what makes it doubtful otherwise.
-func (g *Gateway) searchPreceding(req *relayedRequest, search *originSearch) (doubt string) {
-	version, known := g.precedingVersion(req, *search)
-	if !known {
-		return "no preceding version"
-	}
-	select {
-	case g.peers.wideSearches <- struct{}{}:
-		defer func() { <-g.peers.wideSearches }()
-	default:
-		return "too many searches"
-	}
-	if g.peers.askForOrigin(req, g.peers.unasked(search.asked), search); search.Found {
-		return ""
-	}
-	if doubt = g.mayHaveBegunElsewhere(req.service, version, *search); doubt != "" {
-		return doubt
-	}
-	g.log.Info("stream of a lost daemon goes on at the preceding version", "request", req.call.ID, "resumes", req.call.Resumes,
-		"service", req.service, "target_version", version)
-	search.Resolution = origin.Resolution{Found: true, Version: version}
-	return ""
-}
-
-// unasked returns the addresses of the live daemons, also of those that leave, that have not
-// been asked yet.
-func (p *peers) unasked(asked []string) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var addresses []string
-	for _, daemon := range p.table.Live(time.Now()) {
-		if address := daemon.GetAddress(); address != "" && address != p.address && !slices.Contains(asked, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
-}
-
-// hasAnswered reports whether the incarnation of a daemon has answered a search.
-func (p *peers) hasAnswered(d declarer, search originSearch) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return d.incarnation != 0 && search.answered[p.table.Member(d.name).GetAddress()] == d.incarnation
-}
-
-// mayHaveBegunElsewhere returns why a stream that nobody knows may have begun at another version than
-// the preceding one, empty if it cannot: each daemon that may have begun streams at another one
-// has answered that it does not know the stream. The caller must have read the record since the
-// request came.
-func (g *Gateway) mayHaveBegunElsewhere(service, version string, search originSearch) (doubt string) {
-	now := time.Now()
-	preceding, known := origin.Preceding{}, false
-	g.coordinator.do(func() { preceding, known = g.coordinator.origins.Preceding(service, now) })
-	if !known { // this daemon has started since
-		preceding.EndedAt = g.peers.startedAt
-	}
-	g.streamRecord.mu.Lock()
-	restoredAt := g.streamRecord.restoredAt
-	g.streamRecord.mu.Unlock()
-	if now.Sub(restoredAt) <= 2*origin.Lifetime {
-		return "store restored"
-	}
-	for _, d := range g.declaredBeyond(service, version) {
-		if d.earlier || !g.peers.hasAnswered(d, search) {
-			return "a daemon that does not answer has declared another version"
-		}
-	}
-	hasAnswered := func(address string) bool { _, answered := search.answered[address]; return answered }
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	if search.undeclared || g.peers.table.Undeclared(preceding.EndedAt.Add(-2*origin.Lifetime), preceding.EndedAt, hasAnswered) {
-		return "a daemon does not declare versions"
-	}
-	return ""
-}
-
 // loadDeclarations reads the declarations of all daemons.
 func (r *streamRecord) loadDeclarations(ctx context.Context) error {
 	list, _, err := r.gateway.store.List(ctx, kindDeclarations, false)
@@ -280,18 +199,18 @@
 		return fmt.Errorf("encode declared versions for a peer: %w", err)
 	}
 	host := p.gateway.settings.Host
-	err = errNoPeerDeclares
+	failure := errNoPeerDeclares
 	for _, address := range ranking.Top(ranking.Hash(kindDeclarations, host), p.originKeepers(), declarationHelpers) {
-		var declared bool
-		declared, err = p.client.DeclareVersions(ctx, address, &peerpb.StreamOrigins{DeclaringDaemon: host, Declaration: spec})
+		declared, err := p.client.DeclareVersions(ctx, address, &peerpb.StreamOrigins{DeclaringDaemon: host, Declaration: spec})
 		if declared {
 			return nil
 		}
 		if err != nil {
 			p.gateway.metrics.countPeerFailure()
+			failure = err
 		}
 	}
-	return err
+	return failure
 }
 
 // writeDeclaration writes the declaration of another daemon to the store, and reports whether it
