Tests: a part of an early answer is always a part

Traced by its log: the cut between two events is beyond the end of a plain answer, which was then whole, framed, and its connection kept by the daemon while the target closed it; a booking is not sent twice. Change: the cut is never beyond the half of an answer. The fleet has as many targets as those of the other tables.

--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -49,7 +49,7 @@
 // without a length, and resets the connection while the rest is being written (issue 55, MIXED).
 func TestPartOfAnEarlyAnswerToAnUploadIsNotWhole(t *testing.T) {
 	half := func(head, body string) int { return len(head) + len(body)/2 }
-	firstEvents := func(head, _ string) int { return len(head) + 2*len(standin.EventText(1)) }
+	firstEvents := func(head, body string) int { return len(head) + min(2*len(standin.EventText(1)), len(body)/2) }
 	for _, framing := range []standin.Framing{standin.FramedByConnection, standin.FramedByChunks, standin.FramedByLength} {
 		var cases []answerCase
 		for _, reset := range []bool{true, false} {
@@ -144,6 +144,13 @@
 	f.store.Put(platform.KindDocument, platform.DocumentName, standin.DocumentWithMaxBody(1, 4<<20))
 	f.start()
 	fleet := &linkedFleet{t: t, targets: append(writers[:], desks[:]...), daemons: []*testFixture{f}}
+	for i := len(writers); i < linkedEngines; i++ {
+		fleet.targets = append(fleet.targets, f.addTarget(fmt.Sprint("writer-", i), "writers", true))
+	}
+	for i := len(desks); i < 2*linkedDesks; i++ {
+		fleet.targets = append(fleet.targets, f.addTarget(fmt.Sprint("desk-", i), "desk", false))
+	}
+	f.eventually(func() bool { return f.rosterSize() == len(fleet.targets) })
 	if direct {
 		return fleet
 	}
