httpserver: memory of a head that yields is lent once it is free

Cause: the account released a head's memory when its connection was told to end. The goroutine that reads the connection holds the parsed fields until it has run, and after a 431 it waited 250 ms on the same stack. A count of what was held showed 67 MB by 33 connections that waited after a 431, while the account had lent 3 MB.

Change: the memory is released when net/http has given up the head: when it closes the connection or answers of its own. Reservations wait for that, 100 ms at most. The wait after a 431 moves to Close. A head that waits for memory is not told to end meanwhile, so that two can't wait for each other. The limit listener leaves the release to the connection's server, too.

--- a/internal/clientlimits/clientlimits_test.go
+++ b/internal/clientlimits/clientlimits_test.go
@@ -21,6 +21,8 @@
 	quarterMachine = machine{memoryMB: 46, descriptors: 1025}
 	// fewDescriptors has a sixteenth of the descriptors, so that the crowd exceeds them.
 	fewDescriptors = machine{memoryMB: 46, descriptors: 256}
+	// oneProcessor runs one goroutine at a time: what has been told to end goes on holding its memory.
+	oneProcessor = machine{memoryMB: 46, descriptors: 1025, processors: 1}
 )
 
 const (
@@ -62,6 +64,7 @@
 			{"heads over the limit", quarterMachine, headOverLimit},
 			{"a request line without end", quarterMachine, endlessLine},
 			{"distinct fields without end", quarterMachine, distinctFields},
+			{"distinct fields without end, one processor", oneProcessor, distinctFields},
 			{"one field without end", quarterMachine, sameField},
 			{"empty lines before a request", quarterMachine, emptyLinesBefore},
 			{"empty lines between requests", quarterMachine, emptyLinesAmong},
@@ -78,6 +81,7 @@
 		add("gateway "+place+" connections left", startGateway, place, fewDescriptors, leaves)
 		add("gateway "+place+" distinct fields without end", startGateway, place, quarterMachine, distinctFields)
 	}
+	add("gateway forwards distinct fields without end, one processor", startGateway, "forwards", oneProcessor, distinctFields)
 	add("gateway peers connections left", startGateway, "peers", fewDescriptors, leaves)
 	add("gateway peers unfinished frames", startGateway, "peers", quarterMachine, peerFrame)
 	add("hemlockknotd operators connections left", startChatDaemon, "operators", fewDescriptors, leaves)
--- a/internal/clientlimits/process_test.go
+++ b/internal/clientlimits/process_test.go
@@ -77,7 +77,10 @@
 }
 
 // machine is what a process may use.
-type machine struct{ memoryMB, descriptors int }
+type machine struct {
+	memoryMB, descriptors int
+	processors            int // 0: as many as there are
+}
 
 // freeAddresses returns loopback addresses that no one listens at.
 func freeAddresses(t *testing.T, count int) []string {
@@ -99,6 +102,9 @@
 	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limits.descriptors)
 	cmd := exec.Command("/bin/sh", append([]string{"-c", script, filepath.Join(binaryDir, program)}, args...)...)
 	cmd.Env = append(os.Environ(), env...)
+	if limits.processors > 0 {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", limits.processors))
+	}
 	d := &daemon{exited: make(chan struct{}), log: &lockedBuffer{}}
 	cmd.Stdout, cmd.Stderr = d.log, d.log
 	must.NoError(t, cmd.Start())
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -33,10 +33,12 @@
 	server   *Server
 	ended    atomic.Bool // a limit has ended a head that was not whole
 	handling atomic.Bool // the handler of a request has begun, and the next request has not been awaited
+	refused  atomic.Bool // a head has been answered that was too large; the caller may not have read it
 
 	// Guarded by the server's limits.
-	queue   *queue
-	element *list.Element
+	queue     *queue
+	element   *list.Element
+	reserving bool // the connection waits for memory for its head
 
 	mu           sync.Mutex
 	phase        connPhase
--- a/internal/transport/httpserver/limit_listener.go
+++ b/internal/transport/httpserver/limit_listener.go
@@ -90,24 +90,32 @@
 	return c
 }
 
-// closeOldest closes a connection if there are more than keep.
+// closeOldest closes a connection if there are more than keep. Its server finds out, and releases what
+// the connection holds.
 func (l *limitListener) closeOldest(keep int) {
+	if oldest := l.takeOldest(keep); oldest != nil {
+		l.report(oldest, LimitConnections)
+		_ = oldest.Conn.Close()
+	}
+}
+
+// takeOldest takes a connection out of its queue if there are more than keep, and returns it, or nil.
+func (l *limitListener) takeOldest(keep int) *limitedConn {
 	l.mu.Lock()
-	var oldest *limitedConn
-	if l.unanswered.Len()+l.answered.Len() > keep {
-		front := l.unanswered.Front()
-		if front == nil {
-			front = l.answered.Front()
-		}
-		if front != nil {
-			oldest = front.Value.(*limitedConn)
-		}
+	defer l.mu.Unlock()
+	if l.unanswered.Len()+l.answered.Len() <= keep {
+		return nil
 	}
-	l.mu.Unlock()
-	if oldest != nil {
-		l.report(oldest, LimitConnections)
-		_ = oldest.Close() // its server finds out
+	front := l.unanswered.Front()
+	if front == nil {
+		front = l.answered.Front()
+	}
+	if front == nil {
+		return nil
 	}
+	oldest := front.Value.(*limitedConn)
+	oldest.leaveQueue()
+	return oldest
 }
 
 func (l *limitListener) report(conn net.Conn, reason string) {
@@ -184,12 +192,17 @@
 func (c *limitedConn) Close() error {
 	c.listener.mu.Lock()
 	c.release()
+	c.leaveQueue()
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// leaveQueue takes the connection out of its queue, if it is in one. The caller holds the listener's mu.
+func (c *limitedConn) leaveQueue() {
 	if c.queue != nil {
 		c.queue.Remove(c.element)
 		c.queue = nil
 	}
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
 }
 
 // release gives back what is reserved. The caller holds the listener's mu.
--- a/internal/transport/httpserver/limits.go
+++ b/internal/transport/httpserver/limits.go
@@ -45,6 +45,8 @@
 	bytes    int
 	lines    int
 	reserved int64 // of the memory of unfinished heads
+	// released is closed when that memory has been released; nil: no one waits for it.
+	released chan struct{}
 }
 
 // cost returns the memory for a head beyond what needs no reservation.
@@ -75,27 +77,40 @@
 	c.queue, c.element = nil, nil
 }
 
-// holdsMemory moves an unfinished head to those that hold memory.
-func (s *Server) holdsMemory(c *callerConn) {
+// setReserving records whether the connection waits for memory.
+func (s *Server) setReserving(c *callerConn, reserving bool) {
 	s.limits.Lock()
 	defer s.limits.Unlock()
-	if c.queue == &s.unfinished {
+	c.reserving = reserving
+}
+
+// holdsMemory moves an unfinished head to those that hold memory, or back.
+func (s *Server) holdsMemory(c *callerConn, holds bool) {
+	from, to := &s.unfinished, &s.large
+	if !holds {
+		from, to = to, from
+	}
+	s.limits.Lock()
+	defer s.limits.Unlock()
+	if c.queue == from {
 		s.remove(c)
-		c.queue, c.element = &s.large, s.large.PushBack(c)
+		c.queue, c.element = to, to.PushBack(c)
 	}
 }
 
 // takeOldest takes the connection out of a queue that has been there for longest. It returns nil if
-// there is none.
+// there is none. One that waits for memory stays: it couldn't yield meanwhile, and the two that wait for
+// each other would both fail.
 func (s *Server) takeOldest(from *queue) *callerConn {
 	s.limits.Lock()
 	defer s.limits.Unlock()
-	if from.Len() == 0 {
-		return nil
+	for element := from.Front(); element != nil; element = element.Next() {
+		if oldest := element.Value.(*callerConn); !oldest.reserving {
+			s.remove(oldest)
+			return oldest
+		}
 	}
-	oldest := from.Front().Value.(*callerConn)
-	s.remove(oldest)
-	return oldest
+	return nil
 }
 
 // takeUnfinished takes out a connection that has not sent a whole head, if there are more than keep:
@@ -143,14 +158,14 @@
 	return true
 }
 
-// yieldHead ends the oldest unfinished head that holds memory, and reports whether there was one.
-func (s *Server) yieldHead() bool {
+// yieldHead ends the oldest unfinished head that holds memory. It returns a channel that is closed when
+// the memory has been released, or nil if there was no such head.
+func (s *Server) yieldHead() (released <-chan struct{}) {
 	oldest := s.takeOldest(&s.large)
 	if oldest == nil {
-		return false
+		return nil
 	}
-	oldest.evict(LimitMemory)
-	return true
+	return oldest.evict(LimitMemory)
 }
 
 // report tells the options' OnLimit of a limit that a connection has met.
@@ -168,16 +183,24 @@
 	return 0, s.options.HeaderTimeout
 }
 
-// evict has the goroutine that reads the connection close it, unless a request has come meanwhile.
-func (c *callerConn) evict(reason string) {
+// evict has the goroutine that reads the connection close it, unless a request has come meanwhile. It
+// returns a channel that is closed when the memory of its head has been released.
+func (c *callerConn) evict(reason string) (released <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.head.released == nil {
+		c.head.released = make(chan struct{})
+	}
+	released = c.head.released
+	if c.head.reserved == 0 {
+		c.releaseHead()
+	}
 	if c.phase == connBusy && !c.inHead {
-		return // a whole head has come meanwhile
+		return released // a whole head has come meanwhile
 	}
 	c.evicted = reason
-	c.releaseHead()
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	return released
 }
 
 // countHead counts bytes of a head that have been read, and returns the limit that the head exceeds,
@@ -201,7 +224,9 @@
 	if needed <= 0 || account == nil {
 		return ""
 	}
-	reserved := account.ReserveHead(needed) // without the lock, as this connection may be the one that yields
+	c.server.setReserving(c, true)
+	reserved := account.ReserveHead(needed) // without the lock, as others may have to yield
+	c.server.setReserving(c, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -211,17 +236,30 @@
 		account.ReleaseHead(needed)
 	default:
 		c.head.reserved += needed
-		c.server.holdsMemory(c)
+		c.server.holdsMemory(c, true)
 	}
 	return ""
 }
 
-// releaseHead gives back the memory of an unfinished head. The caller holds mu.
+// releaseHead gives back the memory of an unfinished head, which net/http holds until it ends the
+// connection or answers. The caller holds mu.
 func (c *callerConn) releaseHead() {
 	if c.head.reserved > 0 {
 		c.server.options.Memory.ReleaseHead(c.head.reserved)
 		c.head.reserved = 0
 	}
+	if c.head.released != nil {
+		close(c.head.released)
+		c.head.released = nil
+	}
+}
+
+// giveUpHead releases the memory of a head that net/http has given up.
+func (c *callerConn) giveUpHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHead()
+	c.server.holdsMemory(c, false)
 }
 
 // endHead records that the head has been read whole. Its memory is accounted for until endRequest,
@@ -260,16 +298,15 @@
 	}
 }
 
-// refuseHead answers a head that is too large, and waits until the caller can have read the answer.
+// refuseHead answers a head that is too large. Close then waits until the caller can have read it.
 func (c *callerConn) refuseHead() {
 	const status = "431 Request Header Fields Too Large"
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
 	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n%s", status, status); err != nil {
 		return
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		time.Sleep(resetAvoidance)
-	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	c.refused.Store(ok && half.CloseWrite() == nil)
 }
 
 // Write writes to the connection. What net/http answers of its own gets a short time. After the end
@@ -280,11 +317,21 @@
 		return 0, errLimit
 	}
 	if !c.handling.Load() {
+		c.giveUpHead()                                                   // net/http keeps some connections for a time after its own answer
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
 	}
 	return c.Conn.Write(b)
 }
 
+// Close closes the connection; net/http calls it once it has given up a head that is not whole.
+func (c *callerConn) Close() error {
+	c.giveUpHead()
+	if c.refused.Swap(false) && c.server.currentStage() != cut {
+		time.Sleep(resetAvoidance)
+	}
+	return c.Conn.Close()
+}
+
 // limitBody limits the time of a body that the handler does not read: net/http reads the rest of it
 // before it answers, or before the next request. Handlers that read a body set a limit of their own.
 func (s *Server) limitBody(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/httpserver/limits_test.go
+++ b/internal/transport/httpserver/limits_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +30,12 @@
 }
 
 func serveLimited(t *testing.T, options Options) *limitedTest {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return serveLimitedAt(t, options, listener)
+}
+
+func serveLimitedAt(t *testing.T, options Options, listener net.Listener) *limitedTest {
 	test := &limitedTest{t: t}
 	options.IdleTimeout, options.HeaderTimeout, options.MaxHeaderBytes = time.Hour, 10*time.Second, 1<<20
 	options.RequestID = func(http.Header) string { return "" }
@@ -41,7 +50,7 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}), options, &recordingObserver{})
-	address, stop := serveTest(t, test.server)
+	address, stop := serveTestAt(t, test.server, listener)
 	test.address = address
 	t.Cleanup(func() { stop(100 * time.Millisecond) })
 	return test
@@ -176,6 +185,109 @@
 	})
 }
 
+// heldConnListener's connections hold up their server when a read fails, or when it writes, until a
+// channel is closed.
+type heldConnListener struct {
+	net.Listener
+	atRead, atWrite bool
+	until           <-chan struct{}
+	writing         atomic.Bool // a write is held up
+}
+
+func (l *heldConnListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{conn, l}, nil
+}
+
+type heldConn struct {
+	net.Conn
+	listener *heldConnListener
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.listener.atRead && err != nil {
+		<-c.listener.until
+	}
+	return n, err
+}
+
+func (c *heldConn) Write(b []byte) (int, error) {
+	if c.listener.atWrite {
+		c.listener.writing.Store(true)
+		<-c.listener.until
+	}
+	return c.Conn.Write(b)
+}
+
+// The memory of a head was lent again as soon as its connection had been told to end: goroutines that
+// had not run yet, or that waited after a refusal, went on holding it, and the process used more than
+// its machine has.
+func TestMemoryOfAHeadIsLentOnceItIsFree(t *testing.T) {
+	const accountBytes = 4 << 20
+	limits := func() (int, time.Duration) { return 16 << 10, 10 * time.Second }
+	start := testRequest[:len(testRequest)-2]
+	for _, row := range []struct {
+		name            string
+		head            string
+		atRead, atWrite bool
+	}{
+		{"the server has not run since the head was to end", start + "A: " + strings.Repeat("a", 10<<10), true, false},
+		{"the caller has left", start + "A: " + strings.Repeat("a", 10<<10), true, false},
+		{"the head is being refused", start + "A: " + strings.Repeat("a", 30<<10), false, true},
+		{"the head is being refused, in many fields", start + strings.Repeat("A:\r\n", 7<<10), false, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			account := memory.New(accountBytes)
+			free := make(chan struct{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			held := &heldConnListener{Listener: listener, atRead: row.atRead, atWrite: row.atWrite, until: free}
+			test := serveLimitedAt(t, Options{HeadLimits: limits, Memory: account}, held)
+			ready := test.queued(&test.server.large, 1)
+			if row.atWrite {
+				ready = held.writing.Load
+			}
+			conn := test.dial(row.head, ready)
+			if row.name == "the caller has left" {
+				must.NoError(t, conn.Close())
+			}
+			must.False(t, account.ReserveHead(accountBytes/2))
+			must.False(t, account.Reserve(accountBytes))
+			close(free)
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return account.Reserve(accountBytes) }),
+				wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+			account.Release(accountBytes)
+		})
+	}
+}
+
+// Heads that all want more memory at the same time must not wait for each other.
+func TestGrowingHeadsDoNotWaitForEachOther(t *testing.T) {
+	const accountBytes = 512 << 10
+	account := memory.New(accountBytes)
+	test := serveLimited(t, Options{Memory: account})
+	var callers sync.WaitGroup
+	for range 50 {
+		conn, err := net.Dial("tcp", test.address)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		callers.Go(func() {
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			_, _ = io.WriteString(conn, testRequest[:len(testRequest)-2]+strings.Repeat("A:\r\n", 2<<10)+"\r\n") // fails if the connection yields
+			_, err := io.ReadAll(io.LimitReader(conn, 1))
+			if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("a connection has neither been answered nor closed")
+			}
+		})
+	}
+	callers.Wait()
+	must.True(t, isAnswered(test.dial(testRequest, func() bool { return true })))
+}
+
 // The body of a request that no handler reads held its connection without end.
 func TestUnreadBodyEnds(t *testing.T) {
 	test := serveLimited(t, Options{BodyTimeout: 100 * time.Millisecond})
@@ -214,3 +326,32 @@
 	}
 	must.Eq(t, 0, limited.(*limitListener).unanswered.Len()+limited.(*limitListener).answered.Len())
 }
+
+// The memory of a connection that is closed for a new one is lent once its server has let go of it.
+func TestMemoryOfAClosedConnectionIsLentOnceItIsFree(t *testing.T) {
+	const accountBytes = 1 << 20
+	account := memory.New(accountBytes)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	limited := LimitListener(inner, ListenerLimits{MaxConns: 1, Memory: account})
+	defer func() { _ = limited.Close() }()
+	accept := func() net.Conn {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		_, err = io.WriteString(client, strings.Repeat("a", 20<<10))
+		must.NoError(t, err)
+		conn, err := limited.Accept()
+		must.NoError(t, err)
+		return conn
+	}
+	first := accept()
+	_, err = io.ReadFull(first, make([]byte, 20<<10))
+	must.NoError(t, err)
+	accept() // the first is closed
+	_, err = first.Read(make([]byte, 1))
+	must.ErrorIs(t, err, net.ErrClosed)
+	must.False(t, account.Reserve(accountBytes))
+	must.ErrorIs(t, first.Close(), net.ErrClosed)
+	must.True(t, account.Reserve(accountBytes))
+}
--- a/internal/transport/httpserver/request_test.go
+++ b/internal/transport/httpserver/request_test.go
@@ -62,6 +62,10 @@
 func serveTest(t *testing.T, server *Server) (address string, stop func(grace time.Duration) (cancelled int)) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	return serveTestAt(t, server, listener)
+}
+
+func serveTestAt(t *testing.T, server *Server, listener net.Listener) (address string, stop func(grace time.Duration) (cancelled int)) {
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	return listener.Addr().String(), func(grace time.Duration) int {
--- a/internal/transport/memory/account.go
+++ b/internal/transport/memory/account.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -11,6 +12,9 @@
 // request must leave room for the bodies and answers of others.
 const headShare = 1.0 / 2
 
+// yieldTimeout limits the time that a reservation waits for heads that yield to it.
+const yieldTimeout = 100 * time.Millisecond
+
 // Account is the memory that all clients of a process share. Without it they would use up the
 // memory of the host, each within its own limit. It is safe for concurrent use.
 type Account struct {
@@ -20,7 +24,7 @@
 	heads     *semaphore.Weighted
 
 	mu      sync.Mutex
-	yielder []func() bool
+	yielder []func() (released <-chan struct{})
 }
 
 // New returns an account of a number of bytes.
@@ -33,34 +37,26 @@
 }
 
 // OnShortage adds a function that is called when the account is used up. The function ends an
-// unfinished head, releases what it holds and returns true, or returns false if there is none.
-func (a *Account) OnShortage(yield func() bool) {
+// unfinished head and returns a channel that is closed once the head's memory is free and has been
+// released, or returns nil if there is none.
+func (a *Account) OnShortage(yield func() (released <-chan struct{})) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.yielder = append(a.yielder, yield)
 }
 
 // Reserve reserves bytes for a body, an answer or the head of a request that is being answered, and
-// reports whether there were enough. Unfinished heads yield to it.
-func (a *Account) Reserve(bytes int64) bool {
-	for !a.available.TryAcquire(bytes) {
-		if bytes > a.bytes || !a.yield() {
-			return false
-		}
-	}
-	return true
-}
+// reports whether there were enough. Unfinished heads yield to it; it waits for them for a short time.
+func (a *Account) Reserve(bytes int64) bool { return a.acquire(a.available, a.bytes, bytes) }
 
 // Release gives back what Reserve has reserved.
 func (a *Account) Release(bytes int64) { a.available.Release(bytes) }
 
 // ReserveHead reserves bytes for an unfinished head, and reports whether there were enough. Earlier
-// unfinished heads yield to it.
+// unfinished heads yield to it, as they do to Reserve.
 func (a *Account) ReserveHead(bytes int64) bool {
-	for !a.heads.TryAcquire(bytes) {
-		if bytes > a.headBytes || !a.yield() {
-			return false
-		}
+	if !a.acquire(a.heads, a.headBytes, bytes) {
+		return false
 	}
 	if !a.Reserve(bytes) {
 		a.heads.Release(bytes)
@@ -69,21 +65,46 @@
 	return true
 }
 
+// acquire takes bytes from a part of the account that has size bytes in all, and has unfinished heads
+// yield until there are enough.
+func (a *Account) acquire(part *semaphore.Weighted, size, bytes int64) bool {
+	var timeout <-chan time.Time // of all heads that yield
+	for !part.TryAcquire(bytes) {
+		if bytes > size {
+			return false
+		}
+		released := a.yield()
+		if released == nil {
+			return false
+		}
+		if timeout == nil {
+			timeout = time.After(yieldTimeout)
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			return false
+		}
+	}
+	return true
+}
+
 // ReleaseHead gives back what ReserveHead has reserved.
 func (a *Account) ReleaseHead(bytes int64) {
 	a.available.Release(bytes)
 	a.heads.Release(bytes)
 }
 
-// yield ends an unfinished head and reports whether there was one.
-func (a *Account) yield() bool {
+// yield ends an unfinished head and returns a channel that is closed once its memory has been
+// released, or nil if there was none.
+func (a *Account) yield() (released <-chan struct{}) {
 	a.mu.Lock()
 	yielder := a.yielder
 	a.mu.Unlock()
 	for _, yield := range yielder {
-		if yield() {
-			return true
+		if released := yield(); released != nil {
+			return released
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/transport/memory/account_test.go
+++ b/internal/transport/memory/account_test.go
@@ -15,13 +15,15 @@
 	account := New(100)
 	heads := []int64{20, 20}
 	ended := 0
-	account.OnShortage(func() bool {
+	account.OnShortage(func() <-chan struct{} {
 		if ended == len(heads) {
-			return false
+			return nil
 		}
+		released := make(chan struct{})
 		account.ReleaseHead(heads[ended])
+		close(released)
 		ended++
-		return true
+		return released
 	})
 	must.True(t, account.ReserveHead(20))
 	must.True(t, account.ReserveHead(20))
@@ -36,10 +38,26 @@
 	must.True(t, account.ReserveHead(50))
 }
 
+// Memory was lent again while a head that had been told to end still held it.
+func TestReservationWaitsForHeadsThatYield(t *testing.T) {
+	account := New(100)
+	released := make(chan struct{})
+	account.OnShortage(func() <-chan struct{} { return released })
+	must.True(t, account.ReserveHead(50))
+	must.False(t, account.ReserveHead(10)) // the head goes on holding its memory
+	must.False(t, account.Reserve(60))
+	go func() {
+		account.ReleaseHead(50)
+		close(released)
+	}()
+	must.True(t, account.ReserveHead(10))
+	must.True(t, account.Reserve(60))
+}
+
 // A body that can never fit must not end the heads of others.
 func TestHopelessReservationEndsNoHead(t *testing.T) {
 	account := New(100)
-	account.OnShortage(func() bool { t.Error("a head was to yield"); return false })
+	account.OnShortage(func() <-chan struct{} { t.Error("a head was to yield"); return nil })
 	must.False(t, account.Reserve(101))
 	must.False(t, account.ReserveHead(51))
 }
