httpserver: a connection whose request's body is not whole yields

Cause: a connection with a whole head counted as one that is being answered, which never yields.

Change: it counts as unfinished until the body has been read. Reading a body whose connection has been told to end fails with ErrYielded, also if the body has ended meanwhile, and the request is refused as not run.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -183,6 +183,9 @@
 	case errors.Is(err, errNoBufferSpace):
 		req.w.Header().Set("Connection", "close")
 		g.refuse(req, "no_buffer_space", timing.RetryAfter(timing.TargetFull, time.Until(req.deadline)))
+	case errors.Is(err, httpserver.ErrYielded):
+		req.w.Header().Set("Connection", "close")
+		g.refuse(req, "too_many_unfinished", timing.RetryAfter(timing.TargetFull, time.Until(req.deadline)))
 	case req.ended() && req.endReason() == reasonStopping:
 		g.refuse(req, reasonStopping, timing.RetryAfter(timing.DaemonStopping, time.Until(req.deadline)))
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -238,6 +238,10 @@
 		exchange.w.Header().Set("Connection", "close") // the rest of the body is not read
 		return nil, refusal.NotRun(refusal.NoBufferSpace, bufferRetryAfter, "the memory for bodies is used up")
 	}
+	if errors.Is(err, httpserver.ErrYielded) {
+		exchange.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, refusal.NotRun(refusal.NoBufferSpace, bufferRetryAfter, "too many requests are not whole")
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, refusal.NotRun(refusal.BodyTimeout, 0, "the body did not come within %s", s.limits.BodyTimeout)
 	}
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -45,6 +45,7 @@
 	since        time.Time // when the phase began
 	readDeadline time.Time // that net/http has set
 	inHead       bool      // a part of a request's head has been read
+	inBody       bool      // a request's head has been read, and not the whole of its body
 	head         head      // of the last request
 	evicted      string    // the limit for which the connection is to end, "" if none
 	pendingCost  int64     // of the request that is being answered, to be reserved
@@ -144,7 +145,7 @@
 		return
 	}
 	c.phase, c.since = connBusy, time.Now()
-	c.inHead, c.head, c.evicted = true, head{since: c.since}, ""
+	c.inHead, c.inBody, c.head, c.evicted = true, false, head{since: c.since}, ""
 	c.server.move(c, &c.server.unfinished)
 	_ = c.Conn.SetReadDeadline(c.nextCheck()) // fails only on a closed connection
 }
@@ -159,7 +160,7 @@
 		if c.inHead && c.evicted == "" && now.Before(c.nextCheck()) {
 			return c.Conn.SetReadDeadline(c.nextCheck()) == nil // the configuration has changed the limit
 		}
-		c.reportHead()
+		c.reportUnfinished()
 		return false
 	}
 	if socket.UnreadOf(c.Conn) == socket.Bytes { // a request has come meanwhile
@@ -184,10 +185,11 @@
 	return false
 }
 
-// reportHead reports the limit that an unfinished head has met. The caller holds mu.
-func (c *callerConn) reportHead() {
+// reportUnfinished reports the limit that an unfinished request has met. The caller holds mu.
+func (c *callerConn) reportUnfinished() {
 	switch {
-	case !c.inHead: // the time of a body, which its handler limits
+	case !c.inHead: // the time of a body is limited by its handler
+		c.reportBody()
 	case c.evicted != "":
 		c.endWith(c.evicted)
 	default:
@@ -220,6 +222,7 @@
 	case http.StateIdle: // net/http then sets the read deadline
 		c.handling.Store(false)
 		c.endRequest()
+		c.inBody = false
 		c.phase, c.since = connIdle, time.Now()
 		c.server.move(c, &c.server.idle)
 	case http.StateActive:
--- a/internal/transport/httpserver/limits.go
+++ b/internal/transport/httpserver/limits.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"container/list"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -113,7 +115,7 @@
 	return nil
 }
 
-// takeUnfinished takes out a connection that has not sent a whole head, if there are more than keep:
+// takeUnfinished takes out a connection that has not sent a whole request, if there are more than keep:
 // one that holds memory, or else one that has been unfinished for longest.
 func (s *Server) takeUnfinished(keep int) *callerConn {
 	s.limits.Lock()
@@ -129,7 +131,7 @@
 }
 
 // admit makes room for a new connection, and reports whether there is any. Connections yield that
-// have not sent a whole head, then idle ones; those that are being answered stay.
+// have not sent a whole request, then idle ones; those that are being answered stay.
 func (s *Server) admit(conn net.Conn) bool {
 	limit := s.options.MaxConns
 	if limit == 0 {
@@ -195,8 +197,8 @@
 	if c.head.reserved == 0 {
 		c.releaseHead()
 	}
-	if c.phase == connBusy && !c.inHead {
-		return released // a whole head has come meanwhile
+	if c.phase == connBusy && !c.inHead && !c.inBody {
+		return released // a whole request has come meanwhile
 	}
 	c.evicted = reason
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
@@ -332,6 +334,58 @@
 	return c.Conn.Close()
 }
 
+// ErrYielded is the error of reading a body whose connection yields to others.
+var ErrYielded = errors.New("the connection yields to others")
+
+// trackBody counts the connection among those that are unfinished until the body has been read.
+func (c *callerConn) trackBody(body io.ReadCloser) io.ReadCloser {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = true
+	c.server.move(c, &c.server.unfinished)
+	return &trackedBody{body, c}
+}
+
+// trackedBody is the body of a request. Its reads fail with ErrYielded once the connection has been
+// told to end.
+type trackedBody struct {
+	io.ReadCloser
+	conn *callerConn
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && b.conn.endBody(errors.Is(err, io.EOF)) {
+		err = ErrYielded
+	}
+	return n, err
+}
+
+// endBody records that a read of the body has failed, or that it has ended, and reports whether the
+// connection had been told to end before.
+func (c *callerConn) endBody(whole bool) (yielded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted != "" {
+		c.reportBody()
+		return true
+	}
+	if whole && c.inBody {
+		c.inBody = false
+		c.server.move(c, nil)
+	}
+	return false
+}
+
+// reportBody reports once that the connection yields before its request's body has been read. The
+// caller holds mu.
+func (c *callerConn) reportBody() {
+	if c.inBody && c.evicted != "" {
+		c.inBody = false
+		c.server.report(c, c.evicted)
+	}
+}
+
 // limitBody limits the time of a body that the handler does not read: net/http reads the rest of it
 // before it answers, or before the next request. Handlers that read a body set a limit of their own.
 func (s *Server) limitBody(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/httpserver/limits_test.go
+++ b/internal/transport/httpserver/limits_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,8 @@
 	server  *Server
 	address string
 
+	bodies sync.Map // the errors of reading bodies, by the ids of requests
+
 	mu  sync.Mutex
 	met []string
 }
@@ -45,8 +48,15 @@
 		test.met = append(test.met, reason)
 	}
 	test.server = New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/hold" {
+		switch r.URL.Path {
+		case "/hold":
 			<-r.Context().Done()
+		case "/read":
+			if _, err := io.ReadAll(r.Body); err != nil {
+				test.bodies.Store(r.Header.Get(headerID), err)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}), options, &recordingObserver{})
@@ -79,15 +89,20 @@
 
 // oneInHead reports whether the server has read a part of a head.
 func (l *limitedTest) oneInHead() bool {
-	for _, conn := range l.server.openConns() {
+	return l.hasConn(func(conn *callerConn) bool { return conn.inHead })
+}
+
+// oneInBody reports whether a connection counts as one whose body is not whole.
+func (l *limitedTest) oneInBody() bool {
+	return l.hasConn(func(conn *callerConn) bool { return conn.inBody })
+}
+
+func (l *limitedTest) hasConn(is func(*callerConn) bool) bool {
+	return slices.ContainsFunc(l.server.openConns(), func(conn *callerConn) bool {
 		conn.mu.Lock()
-		inHead := conn.inHead
-		conn.mu.Unlock()
-		if inHead {
-			return true
-		}
-	}
-	return false
+		defer conn.mu.Unlock()
+		return is(conn)
+	})
 }
 
 // awaitLimits waits until connections have met just these limits.
@@ -132,6 +147,79 @@
 	must.ErrorContains(t, err, "timeout")
 }
 
+// bodyHead returns the head of a request that has a body.
+func bodyHead(path, id string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\n" + headerID + ": " + id + "\r\nContent-Length: 100\r\n\r\n"
+}
+
+// Strangers that send heads and no bodies once kept callers out: their connections counted as being
+// answered. A connection whose body is not whole yields as one whose head is not.
+func TestConnectionsWithoutTheirBodiesYield(t *testing.T) {
+	for _, row := range []struct {
+		name, path string
+		sent       string // of the body
+		rest       string // sent when the connection has to yield
+		status     int    // of the answer; 0: the connection is closed without one
+		yields     bool
+	}{
+		{"nothing of the body has come", "/read", "", "", http.StatusServiceUnavailable, true},
+		{"a part of the body has come", "/read", "some", "", http.StatusServiceUnavailable, true},
+		{"the handler does not read the body", "/", "", "", http.StatusNoContent, true},
+		{"the handler has answered and has not read all", "/", "some", "", http.StatusNoContent, true},
+		{"the body is whole", "/read", "", strings.Repeat("a", 100), http.StatusNoContent, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			test := serveLimited(t, Options{MaxConns: 2, MaxUnfinished: 2})
+			s := test.server
+			held := test.dial("GET /hold HTTP/1.1\r\nHost: desk.example\r\n\r\n", func() bool { return s.Requests() == 1 })
+			owing := test.dial(bodyHead(row.path, "owing")+row.sent, test.oneInBody)
+			if row.rest != "" {
+				_, err := io.WriteString(owing, row.rest)
+				must.NoError(t, err)
+				must.Wait(t, wait.InitialSuccess(wait.BoolFunc(test.queued(&s.idle, 1)), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+			}
+			must.True(t, isAnswered(test.dial(testRequest, func() bool { return true })))
+			must.NoError(t, owing.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(owing), nil)
+			must.NoError(t, err)
+			must.Eq(t, row.status, response.StatusCode)
+			test.awaitLimits(LimitConnections) // of the body, or of the idle connection
+			readErr, failed := test.bodies.Load("owing")
+			must.Eq(t, row.yields && row.path == "/read", failed)
+			if failed {
+				must.ErrorIs(t, readErr.(error), ErrYielded)
+			}
+			must.NoError(t, held.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+			_, err = held.Read(make([]byte, 1))
+			must.ErrorContains(t, err, "timeout")
+		})
+	}
+}
+
+// A body that has ended when its connection has already been told to yield must not count as whole:
+// the end of the connection cancels the request.
+func TestBodyThatEndsAfterItsConnectionYieldedIsNotWhole(t *testing.T) {
+	server := newTestServer(&recordingObserver{}, nil)
+	client, conn := net.Pipe()
+	defer func() { _, _ = client.Close(), conn.Close() }()
+	caller := &callerConn{Conn: conn, server: server, phase: connBusy}
+	body := caller.trackBody(io.NopCloser(strings.NewReader("body")))
+	_, err := body.Read(make([]byte, 4))
+	must.NoError(t, err)
+	caller.evict(LimitConnections)
+	_, err = body.Read(make([]byte, 1))
+	must.ErrorIs(t, err, ErrYielded)
+
+	caller = &callerConn{Conn: conn, server: server, phase: connBusy}
+	body = caller.trackBody(io.NopCloser(strings.NewReader("body")))
+	text, err := io.ReadAll(body)
+	must.NoError(t, err)
+	must.Eq(t, "body", string(text))
+	caller.evict(LimitConnections) // too late
+	_, err = body.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
+
 // A request that has come before its idle connection yields is answered.
 func TestIdleConnectionWithARequestDoesNotYield(t *testing.T) {
 	for range 50 {
--- a/internal/transport/httpserver/request.go
+++ b/internal/transport/httpserver/request.go
@@ -37,6 +37,9 @@
 		defer s.checkEnd(request, response)
 		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			conn.handling.Store(true)
+			if r.Body != nil && r.Body != http.NoBody {
+				r.Body = conn.trackBody(r.Body)
+			}
 		}
 		s.limitBody(response, r)
 		handler.ServeHTTP(response, r.WithContext(context.WithValue(ctx, requestKey{}, request)))
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -8,7 +8,7 @@
 //     holds no byte of a request.
 //   - A connection is kept for the idle timeout on which its caller relies, which the last
 //     response names, unless the server has as many connections as it may and none of them lacks
-//     a whole head: then the one that has been idle for longest yields to a new one.
+//     a whole request: then the one that has been idle for longest yields to a new one.
 //   - A planned stop goes on answering the requests that come on connections that are open.
 //     http.Server.Shutdown drops those that are read after its call.
 //   - A handler that panics or ends without a response gets one that is no success. net/http
@@ -56,7 +56,7 @@
 	// BodyTimeout limits the time of a body that no handler reads; 0: none.
 	BodyTimeout time.Duration
 	// MaxConns limits the connections, and MaxUnfinished those of them that have not sent a whole
-	// head; 0: none.
+	// request; 0: none.
 	MaxConns, MaxUnfinished int
 	// Memory accounts for heads; nil: none.
 	Memory *memory.Account
@@ -111,8 +111,8 @@
 
 	open       atomic.Int64 // connections
 	limits     sync.Mutex   // taken after the other locks
-	unfinished queue        // connections that have not sent a whole head and hold no reserved memory
-	large      queue        // connections that have not sent a whole head and do
+	unfinished queue        // connections that have not sent a whole request and hold no memory of unfinished heads
+	large      queue        // connections that have not sent a whole head and hold some
 	idle       queue        // connections that await the next request
 }
 
