gateway: parts of prompts are decoded once the body is there, and charged

Cause: the parts were decoded when the head was there, 24 bytes a part and as much again while the list grew. No account covered them.

Change: they are decoded after the body, into a list of the right size that the request reserves; without room it is refused with no_buffer_space.

--- a/internal/clientlimits/clientlimits_test.go
+++ b/internal/clientlimits/clientlimits_test.go
@@ -72,6 +72,8 @@
 			{"chunk extensions", quarterMachine, chunkExtensions},
 			{"trailers", quarterMachine, trailers},
 			{"bodies that stall", quarterMachine, stalledBody},
+			{"bodies that never come", quarterMachine, missingBody},
+			{"bodies that never come, few descriptors", fewDescriptors, missingBody},
 			{"pipelined requests", quarterMachine, pipelined},
 		} {
 			add(p.name+" callers "+c.name, p.start, "callers", c.on, c.send)
--- a/internal/clientlimits/clients_test.go
+++ b/internal/clientlimits/clients_test.go
@@ -41,12 +41,18 @@
 var (
 	chunkedStart = bookingHead("Transfer-Encoding: chunked")
 	stalledStart = bookingHead("Content-Length: 4000000")
+	// longPromptStart names thousands of parts of a prompt, within the limit of a head.
+	longPromptStart = requestHead(standin.CallerRequest{DeadlineMs: "60000", SharedParts: strings.Repeat("a:1,", headInsideLimit/len("a:1,")) + "a:1"}, "Content-Length: 100")
 )
 
 // bookingHead returns the head of a request, whose framing is given.
-func bookingHead(framing string) string {
+func bookingHead(framing string) string { return requestHead(standin.CallerRequest{}, framing) }
+
+// requestHead returns the head of a booking with the other properties of a call.
+func requestHead(call standin.CallerRequest, framing string) string {
 	const body = "body"
-	text := standin.RequestText(standin.CallerRequest{Method: "POST", Path: "/bookings/1", ID: "stranger", Body: body}, "HTTP/1.1")
+	call.Method, call.Path, call.ID, call.Body = "POST", "/bookings/1", "stranger", body
+	text := standin.RequestText(call, "HTTP/1.1")
 	return strings.Replace(strings.TrimSuffix(text, body), "Content-Length: 4", framing+"\r\nAuthorization: Bearer "+standin.WorkspaceKey, 1)
 }
 
@@ -102,6 +108,7 @@
 	chunkExtensions  = sending(chunkedStart+"1;", maxBodySent, always("a"))
 	trailers         = sending(chunkedStart+"1\r\na\r\n0\r\n", maxBodySent, func(i int) string { return fmt.Sprintf("a%x:\r\n", i) })
 	stalledBody      = sending(stalledStart, 64<<10, always("a"))
+	missingBody      = sending(longPromptStart, 0, nil)
 	pipelined        = sending("", maxBodySent, always(unroutedRequest))
 	halfClosed       = client(func(conn net.Conn, _ int) {
 		_, _ = io.WriteString(conn, requestStart)
--- a/internal/gateway/forward_server.go
+++ b/internal/gateway/forward_server.go
@@ -67,7 +67,7 @@
 		return
 	}
 	endLimit := limitBodyTime(req)
-	if req.body, err = req.buffers.readAll(r.Body, maxForwardedBody); err != nil {
+	if req.body, err = req.buffers.readAll(r.Body, maxForwardedBody); err != nil || !req.decodePrompt() {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		g.refuseForwarded(req, "no_buffer_space")
 		return
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,12 +10,14 @@
 	"os"
 	"sync/atomic"
 	"time"
+	"unsafe"
 
 	"hemlockknot/internal/coordination/timing"
 	"hemlockknot/internal/protocol/forward"
 	"hemlockknot/internal/protocol/relay"
 	"hemlockknot/internal/state/routing"
 	"hemlockknot/internal/transport/httpserver"
+	"hemlockknot/internal/transport/memory"
 	"hemlockknot/platform"
 )
 
@@ -98,7 +100,7 @@
 	if !g.admit(req, table) {
 		return
 	}
-	if !g.readBody(req, table) {
+	if !g.readBody(req, table) || !g.readPrompt(req) {
 		return
 	}
 	if !g.takes(req) {
@@ -198,6 +200,30 @@
 	return false
 }
 
+// promptPartBytes is the memory of a part of a decoded prompt.
+const promptPartBytes = int64(unsafe.Sizeof(relay.PromptPart{}))
+
+// decodePrompt sets the parts of the request's prompt, and reports whether there is memory for them: a
+// head of 16 KB may name thousands. It is called once the body is there, as the parts are not needed
+// before and some callers never send theirs.
+func (req *callerRequest) decodePrompt() bool {
+	if cost := int64(platform.CountPromptParts(req.r.Header)) * promptPartBytes; cost > memory.FreeBytes && !req.buffers.reserve(cost) {
+		return false
+	}
+	req.call.Parts = platform.ParsePromptParts(req.r.Header)
+	return true
+}
+
+// readPrompt decodes the prompt of a caller's request. If there is no memory for it, readPrompt
+// sends an error response and returns false.
+func (g *Gateway) readPrompt(req *callerRequest) bool {
+	if req.decodePrompt() {
+		return true
+	}
+	g.refuse(req, "no_buffer_space", timing.RetryAfter(timing.TargetFull, time.Until(req.deadline)))
+	return false
+}
+
 // limitBodyTime ends the reading of a request's body at its deadline, or once the request must
 // not go on: a caller that sends its body a byte at a time must hold up neither the request nor
 // a stop. The returned function ends the limit.
--- a/internal/gateway/hedge_end_test.go
+++ b/internal/gateway/hedge_end_test.go
@@ -27,6 +27,7 @@
 	var err error
 	incoming.call, err = platform.ParseRequestHeader(r.Header)
 	must.NoError(f.t, err)
+	must.True(f.t, incoming.decodePrompt())
 	must.True(f.t, f.daemon.admit(incoming, f.daemon.config.current()))
 	return newRelayedRequest(incoming, attempt.Policy{Repeatable: incoming.route.Repeatable(), Resumable: incoming.route.Resumable, MaxAttempts: incoming.route.MaxAttempts})
 }
--- a/internal/gateway/unbuffered_answer_test.go
+++ b/internal/gateway/unbuffered_answer_test.go
@@ -12,9 +12,14 @@
 )
 
 // useUpBuffers reserves all memory for bodies until the end of the test.
-func (f *testFixture) useUpBuffers() {
-	other := f.daemon.buffers.newReservation()
+func (f *testFixture) useUpBuffers() { f.leaveBuffers(0) }
+
+// leaveBuffers is useUpBuffers except for a number of bytes.
+func (f *testFixture) leaveBuffers(left int64) {
+	other, spare := f.daemon.buffers.newReservation(), f.daemon.buffers.newReservation()
+	must.True(f.t, spare.reserve(left))
 	f.t.Cleanup(other.release)
+	defer spare.release()
 	for bytes := int64(1 << 20); bytes > 0; bytes /= 2 {
 		for other.reserve(bytes) {
 		}
@@ -81,3 +86,24 @@
 		})
 	}
 }
+
+// Prompts of thousands of parts once filled the memory of the host: each took six times its text,
+// which no account covered.
+func TestPartsOfPromptsAreAccountedFor(t *testing.T) {
+	fleet := newLinkedFleetWithRetries(t, 2, retryForEachCase)
+	f := fleet.daemons[0]
+	prompt := func(parts int) standin.CallerRequest {
+		return standin.CallerRequest{Method: http.MethodPost, Path: "/reads/1", ID: fmt.Sprint("prompt-", parts), SharedParts: strings.Repeat("a:1,", parts) + "a:1"}
+	}
+	ask := func(parts, status int) {
+		t.Helper()
+		end := f.ask(prompt(parts))
+		must.Eq(t, status, end.status)
+		must.True(t, end.complete)
+	}
+	ask(3_000, http.StatusOK)
+	f.leaveBuffers(60 << 10) // for the head, not for the parts
+	ask(3_000, http.StatusServiceUnavailable)
+	must.Eq(t, 1, countRuns("prompt-3000", fleet.targets...))
+	ask(3, http.StatusOK)
+}
