gateway: changes that are too large for one response are listed

Cause: a response to a watch of more than 8 MiB was an error like any other, so the same watch was repeated until the store had dropped the history.

Change: the objects are listed again, as after a dropped history. A list has each object once, in pages.

--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,6 +54,32 @@
 	}
 }
 
+// Many changes at once were a response of the store that was too large: the watch was repeated until the
+// store had dropped the history.
+func TestChangesThatAreTooLargeAreFollowedByAList(t *testing.T) {
+	t.Run("configurations", func(t *testing.T) {
+		f, _, _ := newFixture(t)
+		const last = 40
+		for version := 2; version <= last; version++ {
+			document := standin.Document(version, fmt.Sprint("key-", version))
+			document["notes"] = strings.Repeat("n", 776<<10)
+			f.store.Put(platform.KindDocument, platform.DocumentName, document)
+		}
+		f.eventually(func() bool { return f.readStatus("r1", fmt.Sprint("key-", last)) == http.StatusOK })
+	})
+	t.Run("targets", func(t *testing.T) {
+		f, _, _ := newFixture(t)
+		f.store.SetPageSize(20)
+		for i := range 300 {
+			f.store.Put(platform.KindTargets, fmt.Sprint("other-", i), map[string]any{"notes": strings.Repeat("n", 60<<10)})
+		}
+		added := f.addTarget("desk-c", "desk", false)
+		f.eventually(func() bool {
+			return f.readStatus("r1", standin.WorkspaceKey) == http.StatusOK && countRuns("r1", added) > 0
+		})
+	})
+}
+
 // A watch of a revision whose history the store has dropped fails. The daemon then lists
 // the objects again.
 func TestDroppedHistoryIsFollowedByAList(t *testing.T) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -158,6 +158,10 @@
 			w.log.Warn("store has dropped the history since the revision, listing again", "kind", w.kind, "era", revision.Era, "revision", revision.Number, "error", err)
 			return
 		}
+		if errors.Is(err, platform.ErrResponseTooLarge) {
+			w.log.Warn("changes since the revision are too large, listing again", "kind", w.kind, "revision", revision.Number)
+			return
+		}
 		if err != nil {
 			w.backOff(ctx, err)
 			continue
