gateway: what is held back for crashes outlives the loss of all daemons

Cause: what is held back lived in the daemons' memory only.

Change: the daemon that notices a crash or an answer that changes it, and two others of the fleet, write the crashes to the store (target-crashes, one object a daemon). A daemon that starts reads them. What has been let go is written too.

--- a/internal/coordination/quarantine/held.go
+++ b/internal/coordination/quarantine/held.go
@@ -214,6 +214,7 @@
 		if t.holdOn(h.feature) == nil {
 			released = append(released, t.describe(h, now))
 			delete(t.triedAt, h.feature)
+			t.released = append(t.released[max(0, len(t.released)-maxReleased+1):], h.feature)
 		}
 	}
 	return released
@@ -223,7 +224,7 @@
 func (t *Tracker) trialDue(h *hold) time.Time {
 	failedTrials := max(0, h.crashes-usualCrashes)
 	if h.isRequest && failedTrials >= maxRequestTrials {
-		return h.lastAt.Add(maxHoldTime)
+		return h.lastAt.Add(MaxHoldTime)
 	}
 	delay := trialDelay
 	if h.ambiguous {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -75,8 +75,8 @@
 	// maxRequestTrials is how many trials a request that is held back gets. The users allow
 	// three runs after the third crash; two daemons may make the same trial at once.
 	maxRequestTrials = 2
-	// maxHoldTime is how long after the last crash a feature is held back.
-	maxHoldTime = 24 * time.Hour
+	// MaxHoldTime is how long after the last crash a feature is held back.
+	MaxHoldTime = 24 * time.Hour
 	// trialSpacing is the least time between two trials of a part. An answer begins, or
 	// the engine crashes, long before.
 	trialSpacing = 10 * time.Second
@@ -88,6 +88,8 @@
 	maxRequestsPerCrash = 64
 	// requestDepth is the position of a whole request among the features: after all parts.
 	requestDepth = maxPartsPerCrash
+	// maxReleased bounds the features of Snapshot that are no longer held back.
+	maxReleased = 64
 )
 
 // State is the strength of the evidence against a feature. It only ever grows.
@@ -131,6 +133,7 @@
 	crashes   map[uint32]*crash // by the hash of the engine's incarnation
 	held      []*hold           // whole requests first, then the most specific parts
 	triedAt   map[uint64]time.Time
+	released  []uint64 // what was let go last, for Snapshot
 	answered  answered
 	sendStart int // position among the crashes to be sent in turn
 }
@@ -309,7 +312,7 @@
 func (t *Tracker) Expire(now time.Time) (newlyHeld []Hold) {
 	changed := false
 	for engine, c := range t.crashes {
-		if now.Sub(c.receivedAt) > crashLifetime && !t.implicatesHeld(c) || now.Sub(c.at) > maxHoldTime {
+		if now.Sub(c.receivedAt) > crashLifetime && !t.implicatesHeld(c) || now.Sub(c.at) > MaxHoldTime {
 			delete(t.crashes, engine)
 			changed = true
 		}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -259,3 +259,45 @@
 		}
 	}
 }
+
+// A snapshot restores what is held back, and what has been let go stays so whichever of two snapshots is
+// read first.
+func TestSnapshotRestoresWhatIsHeldBack(t *testing.T) {
+	const later = time.Minute
+	fatal := Request{Digest: 9, Prompt: prompt("a", "b").Prompt}
+	crashed := func() *Tracker {
+		tracker := New()
+		for engine := range uint32(3) {
+			tracker.RecordCrash(fatal, engine+1, HeadersSent, start)
+		}
+		tracker.RecordCrash(prompt("c"), 4, NoAnswer, start)
+		must.SliceNotEmpty(t, tracker.Held(start))
+		return tracker
+	}
+	held := crashed().Snapshot(start)
+	must.Len(t, 3, held)
+	restore := func(snapshots ...[]Report) []Hold {
+		tracker := New()
+		for _, snapshot := range snapshots {
+			tracker.Merge(snapshot, start.Add(later))
+		}
+		tracker.Expire(start.Add(later))
+		return tracker.Held(start.Add(later))
+	}
+	var features, restored []uint64
+	for _, hold := range crashed().Held(start) {
+		features = append(features, hold.Feature)
+	}
+	for _, hold := range restore(held) {
+		restored = append(restored, hold.Feature)
+	}
+	must.Eq(t, features, restored)
+
+	cleared := crashed()
+	must.SliceNotEmpty(t, append(cleared.RecordAnswerBegun(fatal, start.Add(time.Second)), cleared.RecordAnswerComplete(fatal, start.Add(time.Second))...))
+	must.SliceEmpty(t, cleared.Held(start.Add(time.Second)))
+	released := cleared.Snapshot(start.Add(time.Second))
+	must.SliceEmpty(t, restore(held, released))
+	must.SliceEmpty(t, restore(released, held))
+	must.SliceEmpty(t, New().Snapshot(start))
+}
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -73,6 +73,31 @@
 	return reports
 }
 
+// Snapshot returns what has to outlive all daemons: the crashes that implicate what is held back, or what
+// was let go last, with the evidence about just that.
+func (t *Tracker) Snapshot(now time.Time) []Report {
+	var reports []Report
+	for _, c := range t.crashes {
+		report := Report{Engine: c.engine, Age: now.Sub(c.at)}
+		for feature, known := range c.evidence {
+			switch isHeld := t.isHeld(feature); {
+			case isHeld && known.state == Weak:
+				known.state = Strong // as in report
+			case isHeld, known.state == Cleared && slices.Contains(t.released, feature):
+			default:
+				continue
+			}
+			report.Evidence = append(report.Evidence, Evidence{feature, known.depth, known.state})
+		}
+		if len(report.Evidence) > 0 {
+			slices.SortFunc(report.Evidence, func(a, b Evidence) int { return cmp.Compare(a.Feature, b.Feature) })
+			reports = append(reports, report)
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Engine, b.Engine) })
+	return reports
+}
+
 // implicatesStrongly reports whether the crash has strong evidence that is not cleared.
 func (c *crash) implicatesStrongly() bool {
 	for _, known := range c.evidence {
--- a/internal/gateway/attempt_outcome.go
+++ b/internal/gateway/attempt_outcome.go
@@ -16,7 +16,7 @@
 		return // the daemon that made the attempt records it
 	}
 	ejected, released := g.coordinator.finishAttempt(a.choice.Target, a.features(), outcome, conclusive)
-	g.logHolds(nil, released, "own")
+	g.recordReleased(released)
 	if ejected {
 		g.handleEjection(a)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	peers             *peers
 	crashChecks       *crashChecks
 	streamRecord      *streamRecord
+	quarantineRecord  *quarantineRecord
 	callers           *httpserver.Server
 	callerListener    net.Listener // for callers' requests
 	readinessListener net.Listener // for the platform's readiness checks
@@ -114,7 +115,11 @@
 	g.coordinator.heardAt = g.streams.heardAt
 	g.coordinator.stopping = g.stopping
 	g.coordinator.onTargetsListed = func(listed map[string]bool) { g.streams.retainTargets(func(id string) bool { return listed[id] }) }
-	g.coordinator.onHeld = func(newlyHeld []quarantine.Hold) { g.logHolds(newlyHeld, nil, "own") }
+	g.quarantineRecord = newQuarantineRecord(g)
+	g.coordinator.onHeld = func(newlyHeld []quarantine.Hold) {
+		g.logHolds(newlyHeld, nil, "own")
+		g.quarantineRecord.note(newlyHeld, nil)
+	}
 	g.coordinator.onOriginsPending = g.peers.copyOrigins
 	g.streamRecord = newStreamRecord(g)
 	g.targets = newTargetList(g)
@@ -174,6 +179,7 @@
 	}
 	work.run(g.streamRecord.run)
 	work.run(g.streamRecord.declareVersions)
+	work.run(g.quarantineRecord.run)
 	work.serve(func(ctx context.Context) error {
 		return g.serveAdmin(ctx, "readiness", g.readyHandler(), g.readinessListener)
 	})
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -86,6 +86,9 @@
 		g.log.Warn("target crashed", "target", target.ID, "requests", len(requests), "digests", loggedDigests(requests), "error", err)
 		newlyHeld, urgent := g.coordinator.recordCrash(target, requests)
 		g.logHolds(newlyHeld, nil, "own")
+		if urgent || len(newlyHeld) > 0 {
+			g.quarantineRecord.noteOwn()
+		}
 		if urgent {
 			g.peers.startRoundSoon()
 		}
@@ -124,7 +127,15 @@
 		return // the daemon that made the attempt records it
 	}
 	g.recordFirstEvent(a)
-	g.logHolds(nil, g.coordinator.recordAnswer(a.choice.Target, a.features()), "own")
+	g.recordReleased(g.coordinator.recordAnswer(a.choice.Target, a.features()))
+}
+
+// recordReleased records that an answer at this daemon has cleared what was held back.
+func (g *Gateway) recordReleased(released []quarantine.Hold) {
+	g.logHolds(nil, released, "own")
+	if len(released) > 0 {
+		g.quarantineRecord.noteOwn()
+	}
 }
 
 // logHolds logs and counts what is held back from now on, and what no longer is.
@@ -176,6 +187,7 @@
 func (p *peers) mergeCrashes(remote *peerpb.MeshState) {
 	newlyHeld, released, urgent := p.gateway.coordinator.mergeCrashes(decodeCrashes(remote))
 	p.gateway.logHolds(newlyHeld, released, "peer")
+	p.gateway.quarantineRecord.note(newlyHeld, released)
 	if urgent {
 		p.startRoundSoon()
 	}
