gateway: calls for the record of crashes back off

While the store was away each daemon asked for the record five times a second and logged each failure. It retries after an exponential delay of 0.2 to 2 s now and logs the first one.

--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -15,6 +15,10 @@
 // are held back. It outlives the loss of all daemons at once.
 const kindCrashes = "target-crashes"
 
+// maxCrashRetryDelay bounds the pause after failed calls: requests with a part that crashes targets come
+// every few seconds.
+const maxCrashRetryDelay = 2 * time.Second
+
 // crashRecorders is how many daemons write what is held back, beside the one that has noticed the last
 // crash: that one may be lost.
 const crashRecorders = 2
@@ -51,18 +55,30 @@
 
 // run reads the record and writes this daemon's part of it until the context ends.
 func (r *quarantineRecord) run(ctx context.Context) {
-	for ctx.Err() == nil && !r.load(ctx) {
-		sleep(ctx, recordRetryDelay)
-	}
+	r.retry(ctx, "record of crashes cannot be read", r.load)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.changed:
 		}
-		for ctx.Err() == nil && !r.write(ctx) {
-			sleep(ctx, recordRetryDelay)
+		r.retry(ctx, "record of crashes cannot be written", r.write)
+	}
+}
+
+// retry makes a call until the store has answered, after an exponential delay. It logs the first failure.
+func (r *quarantineRecord) retry(ctx context.Context, failure string, call func(context.Context) error) {
+	delay := recordRetryDelay
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		err := call(ctx)
+		if err == nil {
+			return
+		}
+		if attempt == 1 {
+			r.gateway.log.Info(failure, "error", err)
 		}
+		sleep(ctx, delay)
+		delay = min(2*delay, maxCrashRetryDelay)
 	}
 }
 
@@ -82,15 +98,14 @@
 	}
 }
 
-// load reads the record, and reports whether the store has answered.
-func (r *quarantineRecord) load(ctx context.Context) bool {
+// load reads the record.
+func (r *quarantineRecord) load(ctx context.Context) error {
 	list, _, err := r.gateway.store.List(ctx, kindCrashes, true)
 	if errors.Is(err, platform.ErrLongList) {
 		list, _, err = r.gateway.store.List(ctx, kindCrashes, false)
 	}
 	if err != nil {
-		r.gateway.log.Info("record of crashes cannot be read", "error", err)
-		return false
+		return err
 	}
 	for _, object := range list {
 		var stored storedCrashes
@@ -102,7 +117,7 @@
 		newlyHeld, released, _ := r.gateway.coordinator.mergeCrashes(stored.reports(time.Now()))
 		r.gateway.logHolds(newlyHeld, released, "store")
 	}
-	return true
+	return nil
 }
 
 // reports decodes the crashes. Clocks of hosts differ, so a time of writing in the future counts as now.
@@ -123,13 +138,13 @@
 	return reports
 }
 
-// write writes this daemon's part of the record, and reports whether the store has taken it.
-func (r *quarantineRecord) write(ctx context.Context) bool {
+// write writes this daemon's part of the record.
+func (r *quarantineRecord) write(ctx context.Context) error {
 	now := time.Now()
 	var reports []quarantine.Report
 	r.gateway.coordinator.do(func() { reports = r.gateway.coordinator.quarantine.Snapshot(now) })
 	if len(reports) == 0 && !r.written {
-		return true
+		return nil
 	}
 	stored := storedCrashes{WrittenMs: now.UnixMilli()}
 	for _, report := range reports {
@@ -140,10 +155,9 @@
 		stored.Crashes = append(stored.Crashes, crash)
 	}
 	if err := r.gateway.store.Put(ctx, kindCrashes, r.gateway.settings.Host, stored); err != nil {
-		r.gateway.log.Info("record of crashes cannot be written", "error", err)
-		return false
+		return err
 	}
 	r.written = true
 	r.gateway.log.Info("crashes recorded", "crashes", len(stored.Crashes))
-	return true
+	return nil
 }
--- a/internal/transport/httpserver/limits.go
+++ b/internal/transport/httpserver/limits.go
@@ -64,7 +64,7 @@
 }
 
 // takeOldest takes the connection out of a queue that has been there for longest. It returns nil if
-// there is none. One that waits for memory stays: it couldn't yield meanwhile, and the two that wait for
+// there is none. One that waits for memory stays: it could not yield meanwhile, and two that waited for
 // each other would both fail.
 func (s *Server) takeOldest(from *queue) *callerConn {
 	s.limits.Lock()
