Route: a last resort follows its chat

Callers saw a refusal (engine_busy) though the engine that holds their chat's context had room. Cause: a request that reached its chat's first engine as its last resort was told that the chat is elsewhere, which is no refusal of that engine; but the attempts were used up, and the route ended there. Now it goes on to the engine that was named, and returns to the first one's queue if it is not taken there. The home redirects a request once (Call.located), so this ends.

TestLastResortFollowsItsChat fails before.

--- a/internal/coordination/route/extra_attempts_test.go
+++ b/internal/coordination/route/extra_attempts_test.go
@@ -63,3 +63,30 @@
 	_, refused = r.Next()
 	must.Eq(t, refusal.EngineBusy, refused.Reason)
 }
+
+// A last resort that reaches its chat's first engine goes on to the engine that holds the chat's
+// context, and back to the first engine's queue if it is not taken there.
+func TestLastResortFollowsItsChat(t *testing.T) {
+	elsewhere := refusal.NotRun(refusal.ChatElsewhere, 0, "")
+	elsewhere.BetterEngine = "e4"
+	leaving := refusal.NotRun(refusal.EngineLeaving, 0, "")
+	r := New(Request{Repeatable: true}, []string{"e1", "e2", "e3"})
+	attempt, refused := r.Next()
+	for !attempt.LastResort {
+		must.Nil(t, refused)
+		better := map[string]string{"e1": "e2", "e2": "e3", "e3": "e1"}
+		r.RecordRefusal("home", busyRefusal(better[attempt.Engine]))
+		attempt, refused = r.Next()
+	}
+	firstEngine := attempt.Engine
+	for _, step := range []struct {
+		refusal    *refusal.Refusal
+		wantEngine string // of the next attempt; "": none
+	}{{elsewhere, "e4"}, {leaving, firstEngine}, {leaving, ""}} {
+		must.Nil(t, refused)
+		r.RecordRefusal("home", step.refusal)
+		attempt, refused = r.Next()
+		must.Eq(t, step.wantEngine, attempt.Engine)
+	}
+	must.True(t, refused.DidNotRun())
+}
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -70,10 +70,11 @@
 	excludedHomes   []string // homes that were stopping, not ready, lost or unreachable
 	retrySameEngine bool     // the next attempt goes to the current engine through another home
 	warmEngine      string   // holds the chat's context, according to the chat directory
-	// lastBusyEngine is the last engine whose busy home recommended another engine
-	// instead of queueing the request.
-	lastBusyEngine string
+	// queueEngine is the engine in whose queue the request waits if no other engine takes it:
+	// the last one whose busy home recommended another engine.
+	queueEngine    string
 	lastResortUsed bool             // an attempt with LastResort set has been made
+	sentOnTo       string           // engine to which a home has sent a last resort on
 	silentEngine   string           // beside which this route's attempts are made; empty: the route is no hedge
 	hedged         bool             // another route has the other engines, and this one stays at its current one
 	mayHaveRun     bool             // the current attempt may have been dispatched to its engine
@@ -114,13 +115,12 @@
 		r.retrySameEngine = false
 		return r.newAttempt(), nil
 	}
-	if !r.hasNextEngine() {
-		if r.lastBusyEngine == "" || r.lastResortUsed {
+	if r.sentOnTo != "" || !r.hasNextEngine() {
+		engine := r.takeLastResort()
+		if engine == "" {
 			return Attempt{}, r.noCandidateRefusal()
 		}
-		// No other engine took the request: it goes back to the last busy home
-		// that recommended one, as a last resort, and waits in that home's queue.
-		r.candidates = []string{r.lastBusyEngine}
+		r.candidates = []string{engine}
 		r.extraAttempts = MaxExtraAttempts
 	}
 	r.currentEngine = r.candidates[0]
@@ -130,6 +130,17 @@
 	return r.newAttempt(), nil
 }
 
+// takeLastResort returns the engine at which the request may wait as no other engine took it, or
+// "". Each is returned once.
+func (r *Route) takeLastResort() string {
+	engine := r.sentOnTo
+	if engine == "" {
+		engine, r.queueEngine = r.queueEngine, ""
+	}
+	r.sentOnTo = ""
+	return engine
+}
+
 // Hedge returns a route for attempts beside the current one, whose engine is silent, or nil if none
 // may be made. The hedge takes the engines that are left: from then on r stays at its current
 // engine. A silent engine counts as one that has failed, so that no third one runs the request.
@@ -145,13 +156,13 @@
 	hedge.excludedHomes = slices.Clone(r.excludedHomes)
 	hedge.warmEngine = r.warmEngine
 	hedge.lastResortUsed = r.lastResortUsed
-	if !hedge.isSilent(r.lastBusyEngine) {
-		hedge.lastBusyEngine = r.lastBusyEngine
+	if !hedge.isSilent(r.queueEngine) {
+		hedge.queueEngine = r.queueEngine
 	}
-	if !hedge.hasNextEngine() && (hedge.lastBusyEngine == "" || hedge.lastResortUsed) {
+	if !hedge.hasNextEngine() && hedge.queueEngine == "" {
 		return nil
 	}
-	r.hedged, r.candidates, r.lastBusyEngine = true, nil, ""
+	r.hedged, r.candidates, r.queueEngine = true, nil, ""
 	return hedge
 }
 
@@ -173,7 +184,9 @@
 		DirectoryConsulted: r.warmEngine != "",
 		Warm:               r.warmEngine == r.currentEngine,
 	}
-	r.lastResortUsed = r.lastResortUsed || attempt.LastResort
+	if attempt.LastResort && !r.lastResortUsed {
+		r.lastResortUsed, r.queueEngine = true, ""
+	}
 	if r.started {
 		attempt.Resume = &peerpb.Resume{Engine: r.currentEngine, Offset: r.offset}
 	}
@@ -236,8 +249,8 @@
 			r.failRequest(home, refusal.Unknown(refusal.AnswerIncomplete, "resume at engine %s: %s", r.currentEngine, refused.Detail))
 			return
 		}
-		if refused.Reason == refusal.EngineBusy && refused.BetterEngine != "" && !r.hedged {
-			r.lastBusyEngine = r.currentEngine
+		if refused.Reason == refusal.EngineBusy && refused.BetterEngine != "" && !r.hedged && !r.lastResortUsed {
+			r.queueEngine = r.currentEngine
 		}
 		r.preferEngine(refused.BetterEngine)
 		r.recordFailure(home, refused)
@@ -267,6 +280,9 @@
 	r.preferEngine(refused.BetterEngine)
 	r.enginesTried--
 	r.warmEngine = refused.BetterEngine
+	if r.lastResortUsed && !r.hedged && !r.isSilent(refused.BetterEngine) {
+		r.sentOnTo, r.queueEngine = refused.BetterEngine, r.currentEngine
+	}
 }
 
 // allowsOtherEngine reports whether another engine may take a request that was
