Admission: a last resort leaves the queue for an engine with room

Cause: the limit of an engine follows a mean load that its home knows late. Requests use up their attempts within milliseconds and collect as last resorts in the queue of the last engine, the smallest. Its home knew engines with room, but never sent a last resort on.

Change: a last resort that has waited 0.5 s, or can't start in time, is sent on, three times at most, and returns to the queue that it has left if it is not taken. Two fields are new in the peers' protocol, leaves_queue and left_queue; without the first a home keeps a request as before.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -31,7 +31,9 @@
 // unused capacity. Queued requests start in this order: requests of workspaces
 // that use less than their share of the engine come first, then requests of
 // higher priority, then requests of the workspace with the lower usage per
-// share, then older requests. A home daemon divides only its own engines among
+// share, then older requests. A request that its entry daemon has sent as a last
+// resort stays for lastResortStay, and is then sent on to an engine that has room;
+// at once, if it cannot start here in time. A home daemon divides only its own engines among
 // the workspaces: a workspace that gets its share of each engine gets its share
 // of the service.
 package admission
@@ -50,15 +52,16 @@
 
 // Request holds the properties of a request that admission depends on.
 type Request struct {
-	ID         string
-	Service    string
-	Engine     string
-	Workspace  string
-	Priority   int32
-	Deadline   time.Time // latest start time
-	LastResort bool      // the entry daemon tries no other engine after this one
-	Warm       bool      // the engine has the context of the request's chat in its cache
-	Resumed    bool      // the engine already runs the request, which another daemon admitted
+	ID          string
+	Service     string
+	Engine      string
+	Workspace   string
+	Priority    int32
+	Deadline    time.Time // latest start time
+	LastResort  bool      // the entry daemon tries no other engine after this one
+	LeavesQueue bool      // the entry daemon tries another engine if the last resort has waited in vain
+	Warm        bool      // the engine has the context of the request's chat in its cache
+	Resumed     bool      // the engine already runs the request, which another daemon admitted
 }
 
 // Ticket identifies one call of Admit. Two attempts to admit the same request
--- a/internal/coordination/admission/property_test.go
+++ b/internal/coordination/admission/property_test.go
@@ -70,12 +70,13 @@
 
 func (r *randomRun) admitRandom() {
 	request := Request{
-		Engine:     r.randomEngine(),
-		Workspace:  []string{"a", "b", "c"}[r.random.IntN(3)],
-		Priority:   r.random.Int32N(3),
-		Deadline:   r.now.Add(time.Duration(r.random.IntN(4000)) * time.Millisecond),
-		LastResort: r.random.IntN(2) == 0,
-		Resumed:    r.random.IntN(30) == 0,
+		Engine:      r.randomEngine(),
+		Workspace:   []string{"a", "b", "c"}[r.random.IntN(3)],
+		Priority:    r.random.Int32N(3),
+		Deadline:    r.now.Add(time.Duration(r.random.IntN(4000)) * time.Millisecond),
+		LastResort:  r.random.IntN(2) == 0,
+		LeavesQueue: r.lastID%2 == 0,
+		Resumed:     r.random.IntN(30) == 0,
 	}
 	decision := r.admit(request)
 	switch decision.Outcome {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +17,10 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// lastResortStay is how long a last resort waits in a queue before it may be sent on to another
+// engine. Other homes have just refused it, and their counts arrive meanwhile.
+const lastResortStay = 2 * TickInterval
+
 // enqueue adds a request to its engine's queue, unless the request can start at
 // once or cannot start before its deadline. If the queue is full, one request is
 // refused, which may be the new one.
@@ -49,7 +54,7 @@
 		c.sortQueue(target)
 	}
 	decisions = append(decisions, c.refuseUnservable(target, now)...)
-	decisions = append(decisions, c.redirectOne(target)...)
+	decisions = append(decisions, c.redirectOne(target, now)...)
 	if len(target.queue) == 0 {
 		delete(c.enginesWithQueue, target)
 	}
@@ -59,9 +64,9 @@
 // redirectOne refuses one queued request with the name of another engine that has
 // room. It redirects only one: the next run of processQueue finds out whether
 // there is room for more.
-func (c *Controller) redirectOne(target *engine) []Decision {
+func (c *Controller) redirectOne(target *engine, now time.Time) []Decision {
 	for i, tracked := range target.queue {
-		if tracked.request.LastResort {
+		if tracked.request.LastResort && !(tracked.request.LeavesQueue && now.Sub(tracked.queuedAt) >= lastResortStay) {
 			continue
 		}
 		alternative := c.leastLoaded(target.service, target.name)
@@ -69,11 +74,18 @@
 			return nil
 		}
 		target.queue = slices.Delete(target.queue, i, i+1)
-		return []Decision{c.refuse(tracked, engineBusyRefusal(target, alternative))}
+		return []Decision{c.refuse(tracked, redirectRefusal(target, tracked, alternative))}
 	}
 	return nil
 }
 
+// redirectRefusal returns the refusal of a queued request that names another engine.
+func redirectRefusal(target *engine, tracked *trackedRequest, alternative string) *refusal.Refusal {
+	r := engineBusyRefusal(target, alternative)
+	r.LeftQueue = tracked.request.LastResort && tracked.request.LeavesQueue
+	return r
+}
+
 // refuseUnservable refuses the queued requests that cannot start at the engine in
 // time. It goes from the front to the back, as each refusal moves the later
 // requests forward.
@@ -108,6 +120,9 @@
 		wait = target.estimatedWait(position - target.unusedCapacity())
 	}
 	if wait > timeLeft || timeLeft <= TickInterval {
+		if alternative := c.leastLoaded(target.service, target.name); alternative != "" && tracked.request.LeavesQueue && timeLeft > 0 {
+			return redirectRefusal(target, tracked, alternative)
+		}
 		return refusal.NotRun(refusal.DeadlineUnmet, target.retryAfter(position),
 			"queue: engine %s has no room for %s, the request must start in %s", target.name, wait, timeLeft)
 	}
@@ -135,8 +150,9 @@
 	}
 	tracked := target.queue[victim]
 	target.queue = slices.Delete(target.queue, victim, victim+1)
-	r := refusal.NotRun(refusal.EngineBusy, target.retryAfter(victim), "queue: engine %s has a full queue", target.name)
-	r.BetterEngine = c.leastLoaded(target.service, target.name)
+	r := redirectRefusal(target, tracked, c.leastLoaded(target.service, target.name))
+	r.RetryAfter = target.retryAfter(victim)
+	r.Detail = fmt.Sprintf("queue: engine %s has a full queue", target.name)
 	return c.refuse(tracked, r)
 }
 
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -193,3 +193,52 @@
 	}
 	must.Eq(t, refusal.EngineBusy, h.admit(Request{Engine: "e1"}).Refusal.Reason)
 }
+
+// A last resort waits while other engines have room only as long as its entry daemon, which may
+// be of an earlier build, needs it to.
+func TestLastResortLeavesTheQueue(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		leavesQueue bool
+		room        bool          // at another engine
+		wait        time.Duration // in the queue
+		deadline    time.Duration
+		want        refusal.Reason // "": it waits on
+		wantEngine  string
+	}{
+		{"just queued", true, true, TickInterval, time.Minute, "", ""},
+		{"waited", true, true, lastResortStay, time.Minute, refusal.EngineBusy, "e2"},
+		{"waited, no room elsewhere", true, false, lastResortStay, time.Minute, "", ""},
+		{"waited long, entry daemon does not send it on", false, true, time.Minute, 2 * time.Minute, "", ""},
+		{"cannot start in time", true, true, 0, 4 * time.Second, refusal.EngineBusy, "e2"},
+		{"cannot start in time, no room elsewhere", true, false, 0, 4 * time.Second, refusal.DeadlineUnmet, ""},
+		{"cannot start in time, entry daemon does not send it on", false, true, 0, 4 * time.Second, refusal.DeadlineUnmet, ""},
+		{"deadline has passed", true, true, 0, -time.Second, refusal.DeadlineUnmet, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, testDocument("", 2, 2))
+			h.completeRequests("e1", 10*time.Second)
+			onE2 := uint32(2)
+			if test.room && test.wait == 0 {
+				onE2 = 0
+			}
+			h.mergePeerCounts("d2", 1, 1, 2, onE2)
+			decision := h.admit(Request{Engine: "e1", LastResort: true, LeavesQueue: test.leavesQueue, Deadline: h.now.Add(test.deadline)})
+			if decision.Outcome == Queued {
+				if test.room {
+					h.mergePeerCounts("d2", 1, 2, 2, 0)
+				}
+				h.advance(test.wait)
+				var decided bool
+				if decision, decided = h.finalDecisions[decision.Ticket]; !decided {
+					must.Eq(t, "", test.want)
+					return
+				}
+			}
+			must.Eq(t, Refused, decision.Outcome)
+			must.Eq(t, test.want, decision.Refusal.Reason)
+			must.Eq(t, test.wantEngine, decision.Refusal.BetterEngine)
+			must.Eq(t, test.wantEngine != "", decision.Refusal.LeftQueue)
+		})
+	}
+}
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -246,6 +246,7 @@
 		AwaitSilent: template.GetStream(),
 		Resume:      next.Resume,
 		LastResort:  next.LastResort,
+		LeavesQueue: next.LeavesQueue,
 		FirstEngine: template.GetFirstEngine(),
 		Located:     next.DirectoryConsulted,
 	}
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -187,15 +187,16 @@
 func admissionRequest(call *peerpb.Call) admission.Request {
 	wait := time.Duration(call.GetDeadlineMs()) * time.Millisecond
 	return admission.Request{
-		ID:         call.GetRequestId(),
-		Service:    call.GetService(),
-		Engine:     call.GetEngine(),
-		Workspace:  call.GetWorkspace(),
-		Priority:   call.GetPriority(),
-		Deadline:   time.Now().Add(wait),
-		LastResort: call.GetLastResort(),
-		Warm:       call.GetWarm(),
-		Resumed:    call.GetResume() != nil,
+		ID:          call.GetRequestId(),
+		Service:     call.GetService(),
+		Engine:      call.GetEngine(),
+		Workspace:   call.GetWorkspace(),
+		Priority:    call.GetPriority(),
+		Deadline:    time.Now().Add(wait),
+		LastResort:  call.GetLastResort(),
+		LeavesQueue: call.GetLeavesQueue(),
+		Warm:        call.GetWarm(),
+		Resumed:     call.GetResume() != nil,
 	}
 }
 
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -26,6 +26,9 @@
 	// because they have free capacity. An extra attempt may go to an engine that
 	// has been tried before, or come after MaxEngines engines have been tried.
 	MaxExtraAttempts = 3
+	// MaxQueuesLeft limits how often a request leaves a queue, in which it has waited as a
+	// last resort, for an engine that the home recommends.
+	MaxQueuesLeft = 3
 )
 
 // retryAfter is the retry delay in the refusals that this package creates for
@@ -47,6 +50,7 @@
 	ExcludedHomes      []string
 	Resume             *peerpb.Resume
 	LastResort         bool // no attempt is left after this one: the home queues the call instead of recommending another engine
+	LeavesQueue        bool // a last resort that has waited in vain may be sent on to another engine
 	DirectoryConsulted bool // the chat directory has been consulted: the home must not redirect again
 	Warm               bool // the chat directory names this engine as the one that holds the chat's context
 }
@@ -71,9 +75,10 @@
 	retrySameEngine bool     // the next attempt goes to the current engine through another home
 	warmEngine      string   // holds the chat's context, according to the chat directory
 	// queueEngine is the engine in whose queue the request waits if no other engine takes it:
-	// the last one whose busy home recommended another engine.
+	// the last one whose busy home recommended another engine, or whose queue it has left.
 	queueEngine    string
 	lastResortUsed bool             // an attempt with LastResort set has been made
+	queuesLeft     int              // queues that the request has left for another engine
 	sentOnTo       string           // engine to which a home has sent a last resort on
 	silentEngine   string           // beside which this route's attempts are made; empty: the route is no hedge
 	hedged         bool             // another route has the other engines, and this one stays at its current one
@@ -155,7 +160,7 @@
 	hedge.failedEngines = r.failedEngines + 1
 	hedge.excludedHomes = slices.Clone(r.excludedHomes)
 	hedge.warmEngine = r.warmEngine
-	hedge.lastResortUsed = r.lastResortUsed
+	hedge.lastResortUsed, hedge.queuesLeft = r.lastResortUsed, r.queuesLeft
 	if !hedge.isSilent(r.queueEngine) {
 		hedge.queueEngine = r.queueEngine
 	}
@@ -184,6 +189,7 @@
 		DirectoryConsulted: r.warmEngine != "",
 		Warm:               r.warmEngine == r.currentEngine,
 	}
+	attempt.LeavesQueue = attempt.LastResort && r.queuesLeft < MaxQueuesLeft
 	if attempt.LastResort && !r.lastResortUsed {
 		r.lastResortUsed, r.queueEngine = true, ""
 	}
@@ -252,6 +258,9 @@
 		if refused.Reason == refusal.EngineBusy && refused.BetterEngine != "" && !r.hedged && !r.lastResortUsed {
 			r.queueEngine = r.currentEngine
 		}
+		if refused.LeftQueue {
+			r.leaveQueueFor(refused.BetterEngine)
+		}
 		r.preferEngine(refused.BetterEngine)
 		r.recordFailure(home, refused)
 		return
@@ -317,6 +326,16 @@
 	r.candidates = slices.Insert(r.candidates, 0, engine)
 }
 
+// leaveQueueFor lets a request that has waited as a last resort go to the engine that the home
+// recommends, unless it has left too many queues.
+func (r *Route) leaveQueueFor(engine string) {
+	if engine == "" || r.queuesLeft >= MaxQueuesLeft || r.hedged || r.isSilent(engine) {
+		return
+	}
+	r.queuesLeft++
+	r.sentOnTo, r.queueEngine = engine, r.currentEngine
+}
+
 // RecordHomeFailure records that the connection to the home could not be made, or was
 // lost before the answer was complete.
 func (r *Route) RecordHomeFailure(home string, err error) {
--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -90,6 +90,7 @@
 	RetryAfter   time.Duration // 0: a retry does not help
 	Detail       string        // for people to read; names the step and the peer that failed
 	BetterEngine string        // an engine that may accept the request; empty if none is known
+	LeftQueue    bool          // the request has waited as a last resort, and may still go to BetterEngine
 }
 
 // NotRun returns a refusal of a request that did not run.
@@ -145,6 +146,7 @@
 		RetryAfterMs: uint32(r.RetryAfter / time.Millisecond),
 		Detail:       r.Detail,
 		BetterEngine: r.BetterEngine,
+		LeftQueue:    r.LeftQueue,
 	}
 }
 
@@ -156,5 +158,6 @@
 		RetryAfter:   time.Duration(message.GetRetryAfterMs()) * time.Millisecond,
 		Detail:       message.GetDetail(),
 		BetterEngine: message.GetBetterEngine(),
+		LeftQueue:    message.GetLeftQueue(),
 	}
 }
