Test of fatal parts: only a refusal for a part that is held back counts

TestPartThatCrashesEnginesBeforeTheirAnswerIsHeldBack failed in a run of the package on three processors beside other load: 7 requests with the part reached engines after all daemons held it back, 3 allowed. By its log two of three daemons held it back. The third had answered 503, too, but as four targets that were gone had used up its attempts; it learned of the part 20 requests later, which are sent within milliseconds. So the check began before its condition was true, and failed whenever the exchange took longer.

A response counts as held back now if it says so, as in the test of whole requests (isHeldBack, in common).

--- a/internal/gateway/fatal_request_test.go
+++ b/internal/gateway/fatal_request_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -77,9 +76,7 @@
 	if err != nil {
 		return false
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, _ := io.ReadAll(response.Body) // breaks off with the target
-	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), "held_back")
+	return isHeldBack(response)
 }
 
 // sendSound sends requests that resemble the fatal one to each daemon and expects answers:
--- a/internal/gateway/quarantine_record_test.go
+++ b/internal/gateway/quarantine_record_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -42,11 +41,11 @@
 	}{
 		{"a part", func(t *testing.T) (*crashingFleet, func() bool) {
 			fleet := newCrashingFleet(t, 3, 60, "writers", func(engine *standin.Target) { engine.CrashOnPart(fatalPart, standin.CrashAfterHead) })
-			return fleet, func() bool { return fleet.sendFatal() == http.StatusServiceUnavailable }
+			return fleet, fleet.sendFatal
 		}},
 		{"a part, before the answer", func(t *testing.T) (*crashingFleet, func() bool) {
 			fleet := newCrashingFleet(t, 3, 60, "writers", func(engine *standin.Target) { engine.CrashOnPart(fatalPart, standin.CrashBeforeHead) })
-			return fleet, func() bool { return fleet.sendFatal() == http.StatusServiceUnavailable }
+			return fleet, fleet.sendFatal
 		}},
 		{"a request", func(t *testing.T) (*crashingFleet, func() bool) {
 			fleet := newFatalRequestFleet(t, 3, 60, standin.FatalRequest{Method: "GET", Path: "/reads/1"})
--- a/internal/gateway/query_of_death_test.go
+++ b/internal/gateway/query_of_death_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,9 +70,9 @@
 	return count
 }
 
-// sendFatal sends a request with the fatal part to one of the daemons in turn and returns
-// the status, 0 if the answer broke off. No two are alike: the last shared part differs.
-func (c *crashingFleet) sendFatal() int {
+// sendFatal sends a request with the fatal part to one of the daemons in turn and reports whether
+// the daemon refused it as one that is held back. No two are alike: the last shared part differs.
+func (c *crashingFleet) sendFatal() (heldBack bool) {
 	c.sent++
 	daemon := c.daemons[c.sent%len(c.daemons)]
 	response, err := daemon.client.Do(daemon.newRequest(standin.CallerRequest{
@@ -79,10 +81,18 @@
 		Body:        fmt.Sprint("ask ", c.sent),
 	}))
 	if err != nil {
-		return 0
+		return false
 	}
-	_ = response.Body.Close()
-	return response.StatusCode
+	return isHeldBack(response)
+}
+
+// isHeldBack reports whether a response refuses a request that is held back, or with a part that
+// is, and closes its body. A daemon whose attempts are used up by targets that are gone answers
+// with the same status.
+func isHeldBack(response *http.Response) bool {
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body) // breaks off with the target
+	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), "held_back")
 }
 
 // sendSound sends a request without the part, but with its other parts, to each daemon and
@@ -123,7 +133,7 @@
 	}
 	refusedInARow := 0
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(spreadTimeout), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
-		if refusedInARow++; fleet.sendFatal() != http.StatusServiceUnavailable {
+		if refusedInARow++; !fleet.sendFatal() {
 			refusedInARow = 0
 		}
 		return refusedInARow == len(fleet.daemons)
