Route: a route that has a hedge stays in its engine's queue

A route stays at its current engine once a hedge has the others. If its home is lost before the request has begun, the next home may queue it as a last resort, and could send it on to an engine that the route doesn't take; the attempt would have ended there, with only the hedge left. It doesn't ask to be sent on now.

TestHedgedRouteStaysInItsQueue fails before.

--- a/internal/coordination/route/extra_attempts_test.go
+++ b/internal/coordination/route/extra_attempts_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -146,3 +147,23 @@
 		})
 	}
 }
+
+// A route whose other engines a hedge has stays at its engine, so its home must not send it on.
+func TestHedgedRouteStaysInItsQueue(t *testing.T) {
+	r := New(Request{Repeatable: true}, []string{"e1", "e2"})
+	_, refused := r.Next()
+	must.Nil(t, refused)
+	r.extraAttempts = MaxExtraAttempts
+	hedge := r.Hedge()
+	must.NotNil(t, hedge)
+	r.RecordHomeFailure("home", errors.New("lost"))
+	attempt, refused := r.Next()
+	must.Nil(t, refused)
+	must.Eq(t, "e1", attempt.Engine)
+	must.True(t, attempt.LastResort)
+	must.False(t, attempt.LeavesQueue)
+	attempt, refused = hedge.Next()
+	must.Nil(t, refused)
+	must.Eq(t, "e2", attempt.Engine)
+	must.True(t, attempt.LeavesQueue)
+}
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -189,7 +189,7 @@
 		DirectoryConsulted: r.warmEngine != "",
 		Warm:               r.warmEngine == r.currentEngine,
 	}
-	attempt.LeavesQueue = attempt.LastResort && r.queuesLeft < MaxQueuesLeft
+	attempt.LeavesQueue = attempt.LastResort && r.queuesLeft < MaxQueuesLeft && !r.hedged
 	if attempt.LastResort && !r.lastResortUsed {
 		r.lastResortUsed, r.queueEngine = true, ""
 	}
