Review case 12: requests for a runner that said in its answers that it leaves

What an answer says with Server-Leaving is kept in the runner's entry only; an entry that comes back after a drill of the store starts without it. After the drill, the runner's entry is removed again at its next heartbeat.

--- a/review/harness-3/case_leaving.go
+++ b/review/harness-3/case_leaving.go
@@ -63,6 +63,9 @@
 	if trouble {
 		w.Store.ComeBackFrom(copied)
 		w.Record.Say("drill: the store is back from a copy %.1f s old", time.Since(copied.at).Seconds())
+		time.Sleep(beat)
+		leaver.Leave()
+		w.Record.Say("%s has removed its entry again, at its next heartbeat", leaver.ID)
 	}
 	time.Sleep(time.Until(removedAt.Add(4 * time.Second)))
 	leaver.Stop()
