Review case 15: what clients send before its turn lies unread beyond the machine's memory

Nothing accounts for bytes that have been received and not been read, which the platform counts as memory.

--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -11,6 +11,7 @@
 	"leaving": caseLeaving,
 	"inplace": caseInPlace,
 	"origin":  caseOrigin,
+	"unread":  caseUnread,
 }
 
 func main() {
--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -87,8 +87,10 @@
 	net     string // first three bytes of the addresses
 	nextIP  int
 	seeds   []string
-	nextID  int
-	mu      sync.Mutex
+	// Descriptors limits the open files of each daemon; 0: none.
+	Descriptors int
+	nextID      int
+	mu          sync.Mutex
 }
 
 const (
@@ -175,7 +177,11 @@
 // StartDaemon starts a daemon with the command of the deploy file, in the repository's root.
 func (w *World) StartDaemon(d *Daemon, bootstrap bool) {
 	w.writeSettings(d, bootstrap)
-	d.cmd = exec.Command("target/hemlockknot-gateway", "run", "--metrics-port", "9464")
+	command := []string{"target/hemlockknot-gateway", "run", "--metrics-port", "9464"}
+	if w.Descriptors > 0 {
+		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, w.Descriptors)}, command...)
+	}
+	d.cmd = exec.Command(command[0], command[1:]...)
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.Dir, "HEMLOCKKNOT_SETTINGS=" + d.settings}
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if d.log == nil {
