--- a/review/harness-3/case_inplace.go
+++ b/review/harness-3/case_inplace.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// caseInPlace: while the store is away, runners crash and come back under their ids with a new software
+// caseInPlace: while the store is away, targets crash and come back under their ids with a new software
 // version. Streams that are broken off must not go on at them.
 func caseInPlace(w *World, trouble bool) bool {
 	w.PutConfig(7, []route{
@@ -15,13 +15,13 @@
 		plainRoute("r-read", "/cufi504/", "idempotent", "wuno96b", 2),
 	}, []map[string]any{modelService("huvo11a"), plainService("wuno96b")})
 	zones := []string{"lhr-a", "lhr-b", "lhr-c"}
-	var engines []*Runner
+	var engines []*Target
 	for i := range 6 {
-		engines = append(engines, w.AddRunner(&Runner{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zones[i%3], Version: "v1",
+		engines = append(engines, w.AddTarget(&Target{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zones[i%3], Version: "v1",
 			Events: 70, Work: 50 * time.Millisecond, EventGap: 100 * time.Millisecond}))
 	}
 	for i, zone := range zones {
-		w.AddRunner(&Runner{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
+		w.AddTarget(&Target{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
 	}
 	w.PlanDaemons(6, zones...)
 	w.StartDaemons()
@@ -42,7 +42,7 @@
 		}
 	})
 	time.Sleep(5 * time.Second)
-	replace := func(r *Runner, down time.Duration) {
+	replace := func(r *Target, down time.Duration) {
 		r.Stop()
 		w.Record.Say("%s crashes", r.ID)
 		time.Sleep(down)
--- a/review/harness-3/case_leaving.go
+++ b/review/harness-3/case_leaving.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// caseLeaving: a runner leaves without reporting draining, and says so in its answers; the store comes back
+// caseLeaving: a target leaves without reporting draining, and says so in its answers; the store comes back
 // from a copy that still lists it. Machines that have passed on such an answer must not send it requests.
 func caseLeaving(w *World, trouble bool) bool {
 	w.PutConfig(7, []route{
@@ -14,11 +14,11 @@
 		plainRoute("r-read", "/cufi504/", "idempotent", "wuno96b", 2),
 	}, []map[string]any{modelService("huvo11a"), plainService("wuno96b")})
 	zones := []string{"lhr-a", "lhr-b", "lhr-c"}
-	var engines []*Runner
+	var engines []*Target
 	for i, zone := range zones {
-		engines = append(engines, w.AddRunner(&Runner{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zone, Version: "v1",
+		engines = append(engines, w.AddTarget(&Target{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zone, Version: "v1",
 			Events: 40, Work: 300 * time.Millisecond, EventGap: 40 * time.Millisecond}))
-		w.AddRunner(&Runner{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
+		w.AddTarget(&Target{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
 	}
 	leaver := engines[0]
 	w.PlanDaemons(6, zones...)
@@ -40,7 +40,7 @@
 				d, number := w.Daemons[i%len(w.Daemons)], i
 				wait.Go(func() {
 					sent := w.Do(d, Call{Kind: "stream", Method: "POST", Path: "/pufi791/2f", Body: "question", DeadlineMs: 10000,
-						Header: map[string]string{"X-Model": "m", "X-Token-Count": "829,300", "X-Prompt-Prefix": fmt.Sprintf("%08x:119,%08x:580,%08x:130", 0x10+number%40, 0x1000+number%192, 0x900000+number)}})
+						Header: map[string]string{"X-Model": "m", named("{token-count}"): "829,300", named("{prompt}"): fmt.Sprintf("%08x:119,%08x:580,%08x:130", 0x10+number%40, 0x1000+number%192, 0x900000+number)}})
 					mu.Lock()
 					all = append(all, sent)
 					mu.Unlock()
@@ -77,7 +77,7 @@
 	return judgeLeaving(w, leaver, all)
 }
 
-func judgeLeaving(w *World, leaver *Runner, all []*Sent) bool {
+func judgeLeaving(w *World, leaver *Target, all []*Sent) bool {
 	const drain = 2 * time.Second
 	toldAt := make(map[string]time.Time) // when a daemon first passed on an answer with Server-Leaving
 	byID := make(map[string]*Sent)
@@ -95,9 +95,9 @@
 			w.Record.Say("%s passed on no answer with Server-Leaving", d.Name)
 		}
 	}
-	for _, r := range w.Runners {
+	for _, r := range w.Targets {
 		for _, a := range r.Arrivals() {
-			w.Record.AddAt(a.At, "runner %s: %s arrives, ran %t, to its end %t", a.Runner, a.ID, a.Ran, a.Ended)
+			w.Record.AddAt(a.At, "target %s: %s arrives, ran %t, to its end %t", a.Target, a.ID, a.Ran, a.Ended)
 		}
 	}
 	broken, lost := 0, 0
@@ -114,6 +114,6 @@
 			w.Record.Add("LOST: %s was begun by %s, and its client got status %d, %d events and no end: %v", a.ID, leaver.ID, sent.Status, len(sent.Events), sent.Err)
 		}
 	}
-	w.Record.Say("%d requests reached the leaving runner that were sent over %v after the machine had passed on Server-Leaving (any breaks the rule); %d of these were begun and have no whole answer", broken, drain, lost)
+	w.Record.Say("%d requests reached the leaving target that were sent over %v after the machine had passed on Server-Leaving (any breaks the rule); %d of these were begun and have no whole answer", broken, drain, lost)
 	return broken == 0
 }
--- a/review/harness-3/case_origin.go
+++ b/review/harness-3/case_origin.go
@@ -19,13 +19,13 @@
 	zones := []string{"lhr-a", "lhr-b", "lhr-c"}
 	addEngines := func(version string, count int) {
 		for i := range count {
-			w.AddRunner(&Runner{ID: fmt.Sprintf("i-%s-%d", version, i+1), Service: "huvo11a", Zone: zones[i%3], Version: version,
+			w.AddTarget(&Target{ID: fmt.Sprintf("i-%s-%d", version, i+1), Service: "huvo11a", Zone: zones[i%3], Version: version,
 				Events: 70, Work: 50 * time.Millisecond, EventGap: 100 * time.Millisecond})
 		}
 	}
 	addEngines("v1", 4)
 	for i, zone := range zones {
-		w.AddRunner(&Runner{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
+		w.AddTarget(&Target{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
 	}
 	w.PlanDaemons(6, zones...)
 	w.StartDaemons()
@@ -50,7 +50,7 @@
 	w.Record.Say("the store's content is copied for the drill")
 	time.Sleep(500 * time.Millisecond)
 	addEngines("v2", 4)
-	w.Record.Say("runners of version v2 have started beside those of v1")
+	w.Record.Say("targets of version v2 have started beside those of v1")
 	time.Sleep(3 * time.Second)
 	close(stop)
 	begun.Wait()
@@ -93,7 +93,7 @@
 type clientStream struct {
 	first    string // the id of the attempt that brought the first event
 	tries    []*Sent
-	versions []string // of the runners whose events it holds, in the order of the events
+	versions []string // of the targets whose events it holds, in the order of the events
 	last     int
 	complete bool
 }
@@ -107,7 +107,7 @@
 		prefix := fmt.Sprintf("5c1e07a2:512,%08x:9000,%08x:300", 0x1000+number%20, 0x900000+number)
 		for try := 0; try < 5 && time.Until(deadline) > 0 && !stream.complete; try++ {
 			call := Call{Kind: "stream", Method: "POST", Path: "/lohu930/2f", Body: "prompt", DeadlineMs: int(time.Until(deadline).Milliseconds()),
-				Header: map[string]string{"X-Model": "m", "X-Token-Count": "9812,490", "X-Prompt-Prefix": prefix}}
+				Header: map[string]string{"X-Model": "m", named("{token-count}"): "9812,490", named("{prompt}"): prefix}}
 			if stream.last > 0 {
 				call.Header["Last-Event-Id"] = fmt.Sprint(stream.last)
 				call.Header["Resumes"] = stream.first
@@ -167,9 +167,9 @@
 			w.Record.Add("BROKEN: the stream that %s began holds events of %s", stream.first, strings.Join(stream.versions, ", then "))
 		}
 	}
-	for _, r := range w.Runners {
+	for _, r := range w.Targets {
 		for _, a := range r.Arrivals() {
-			w.Record.AddAt(a.At, "runner %s (%s): %s arrives, after event %d, ran %t, to its end %t", a.Runner, a.Version, a.ID, a.LastEventID, a.Ran, a.Ended)
+			w.Record.AddAt(a.At, "target %s (%s): %s arrives, after event %d, ran %t, to its end %t", a.Target, a.Version, a.ID, a.LastEventID, a.Ran, a.Ended)
 		}
 	}
 	w.Record.Say("%d streams, %d complete; %d were taken up, of which %d did not go on to their end; %d hold events of two software versions (more than 2 break the rule)", len(s.all), complete, taken, refused, mixed)
--- a/review/harness-3/case_unread.go
+++ b/review/harness-3/case_unread.go
@@ -42,11 +42,11 @@
 	}, []map[string]any{modelService("huvo11a"), plainService("wuno96b")})
 	zones := []string{"lhr-a", "lhr-b", "lhr-c"}
 	for i := range 12 {
-		w.AddRunner(&Runner{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zones[i%3], Version: "v1",
+		w.AddTarget(&Target{ID: fmt.Sprintf("i-engine-%d", i+1), Service: "huvo11a", Zone: zones[i%3], Version: "v1",
 			Events: 70, Work: 50 * time.Millisecond, EventGap: 100 * time.Millisecond})
 	}
 	for i, zone := range zones {
-		w.AddRunner(&Runner{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
+		w.AddTarget(&Target{ID: fmt.Sprintf("i-app-%d", i+1), Service: "wuno96b", Zone: zone, Version: "v1", Slots: 6, Work: 60 * time.Millisecond})
 	}
 	w.PlanDaemons(6, zones...)
 	w.StartDaemons()
@@ -131,8 +131,8 @@
 	}()
 	request := func() string {
 		const body = 8000
-		return fmt.Sprintf("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: 12000\r\nX-Model: m\r\nX-Token-Count: 812,49\r\n"+
-			"X-Prompt-Prefix: 5c1e07a2:512,%08x:300\r\nX-Note: %s\r\nContent-Length: %d\r\n\r\n%s", hostName, w.NewID(), key, 0x900000+number, strings.Repeat("n", 12000), body, strings.Repeat("p", body))
+		return fmt.Sprintf(named("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n{key}: %s\r\n{deadline}: 12000\r\nX-Model: m\r\n{token-count}: 812,49\r\n")+
+			named("{prompt}: 5c1e07a2:512,%08x:300\r\nX-Note: %s\r\nContent-Length: %d\r\n\r\n%s"), hostName, w.NewID(), key, 0x900000+number, strings.Repeat("n", 12000), body, strings.Repeat("p", body))
 	}
 	if _, err := io.WriteString(conn, request()); err != nil {
 		return 0
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// beat is the interval between two heartbeats of a runner; an entry expires after three of silence.
+// beat is the interval between two heartbeats of a target; an entry expires after three of silence.
 const (
 	beat        = 1200 * time.Millisecond
 	missedBeats = 3
@@ -129,7 +129,7 @@
 	return true
 }
 
-// Beat is the heartbeat of a runner: it writes the entry anew if more than seq has changed.
+// Beat is the heartbeat of a target: it writes the entry anew if more than seq has changed.
 func (s *Store) Beat(name string, spec map[string]any) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,7 +156,7 @@
 	return fmt.Sprint(x) == fmt.Sprint(y)
 }
 
-// expire removes the entries of runners that have been silent for three heartbeat intervals.
+// expire removes the entries of targets that have been silent for three heartbeat intervals.
 func (s *Store) expire() {
 	for range time.Tick(20 * time.Millisecond) {
 		s.mu.Lock()
@@ -208,7 +208,7 @@
 }
 
 // ComeBackFrom ends GoAway with the content of a copy. Revisions go back, the history is gone and
-// Store-Era rises. Runners have three heartbeat intervals to write their entries again.
+// Store-Era rises. Targets have three heartbeat intervals to write their entries again.
 func (s *Store) ComeBackFrom(from Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,7 +235,7 @@
 	time.Sleep(4 * time.Millisecond)
 	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	w.Header().Set("Content-Type", "application/json")
-	path, found := strings.CutPrefix(r.URL.Path, "/-/objects/")
+	path, found := strings.CutPrefix(r.URL.Path, named("{internal}objects/"))
 	if !found {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -339,12 +339,12 @@
 	for _, name := range names[:min(pageSize, len(names))] {
 		items = append(items, s.objects[kind][name].encode())
 	}
-	_, _ = fmt.Fprintf(w, `{"items":[%s],"hasMore":%t,"asOf":%d}`, strings.Join(items, ","), len(names) > pageSize, s.revision)
+	_, _ = fmt.Fprintf(w, named(`{"items":[%s],"{has-more}":%t,"{as-of}":%d}`), strings.Join(items, ","), len(names) > pageSize, s.revision)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(named("{wait}")))
 	until := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer until.Stop()
 	s.mu.Lock()
@@ -352,7 +352,7 @@
 	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
-		away, era, changed, asOf := s.away, s.era, s.changed, s.revision
+		away, era, changed, at := s.away, s.era, s.changed, s.revision
 		gone := since < s.oldest || since > s.revision || era != begunIn
 		var events []string
 		for _, e := range s.history {
@@ -369,7 +369,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || over:
-			_, _ = fmt.Fprintf(w, `{"events":[%s],"asOf":%d}`, strings.Join(events, ","), asOf)
+			_, _ = fmt.Fprintf(w, named(`{"events":[%s],"{as-of}":%d}`), strings.Join(events, ","), at)
 			return
 		}
 		select {
--- a/review/harness-3/runner.go
+++ b/review/harness-3/target.go
@@ -13,16 +13,16 @@
 	"time"
 )
 
-// Arrival is a request that has reached a runner and is meant for it.
+// Arrival is a request that has reached a target and is meant for it.
 type Arrival struct {
-	Runner, ID, Version string
+	Target, ID, Version string
 	At                  time.Time
 	Ran, Ended          bool // it was begun, and worked on to its end
 	LastEventID         int
 }
 
-// Runner is a stand-in for a runner.
-type Runner struct {
+// Target is a stand-in for a target.
+type Target struct {
 	world             *World
 	ID, Service, Zone string
 	Version           string
@@ -48,8 +48,8 @@
 	conns             map[net.Conn]struct{}
 }
 
-// Start opens the runner's address and writes its entry.
-func (r *Runner) Start() {
+// Start opens the target's address and writes its entry.
+func (r *Target) Start() {
 	listener := must1(net.Listen("tcp", r.Addr))
 	r.Addr = listener.Addr().String()
 	r.Born = time.Now().UnixMilli()
@@ -83,7 +83,7 @@
 	}(r.stopBeats)
 }
 
-func (r *Runner) beat() {
+func (r *Target) beat() {
 	r.mu.Lock()
 	silent := r.silentAtStore
 	state := "ready"
@@ -91,7 +91,7 @@
 		state = "draining"
 	}
 	spec := map[string]any{"service": r.Service, "address": r.Addr, "zone": r.Zone, "version": r.Version, "slots": r.Slots,
-		"state": state, "coldLeftMs": 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
+		"state": state, named("{cold-left}"): 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 		"seq": time.Now().UnixMilli() - r.Born + 1, "born": r.Born}
 	r.mu.Unlock()
 	if !silent {
@@ -99,8 +99,8 @@
 	}
 }
 
-// Stop ends the process of the runner: all its connections are reset.
-func (r *Runner) Stop() {
+// Stop ends the process of the target: all its connections are reset.
+func (r *Target) Stop() {
 	r.mu.Lock()
 	if r.stopped {
 		r.mu.Unlock()
@@ -122,9 +122,9 @@
 	_ = r.server.Close()
 }
 
-// Leave makes the runner leave without reporting draining: its entry is removed, and it says in all
+// Leave makes the target leave without reporting draining: its entry is removed, and it says in all
 // its answers that it leaves. It reports when the store has acknowledged that.
-func (r *Runner) Leave() time.Time {
+func (r *Target) Leave() time.Time {
 	r.mu.Lock()
 	r.leaving, r.silentAtStore = true, true
 	r.mu.Unlock()
@@ -132,14 +132,14 @@
 	return time.Now()
 }
 
-func (r *Runner) isStopped() bool {
+func (r *Target) isStopped() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.stopped
 }
 
 // Arrivals returns what has arrived.
-func (r *Runner) Arrivals() []Arrival {
+func (r *Target) Arrivals() []Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []Arrival
@@ -149,26 +149,26 @@
 	return all
 }
 
-func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
-	if req.URL.Path == "/-/report" {
+func (r *Target) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == named("{internal}report") {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = fmt.Fprintf(w, `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":2,"waiting":0,"running":%d,"kvUsed":1000,"kvTotal":700000,"handles":0,"born":%d}`, r.running.Load(), r.Born)
 		return
 	}
-	w.Header().Set("X-Instance-Id", r.ID)
+	w.Header().Set(named("{instance}"), r.ID)
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	if req.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Load", r.load())
+		w.Header().Set(named("{load}"), r.load())
 		return
 	}
-	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.ID {
+	if expected := req.Header.Get(named("{expect}")); expected != "" && expected != r.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	lastEvent, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	arrival := &Arrival{Runner: r.ID, ID: id, At: time.Now(), Version: r.Version, LastEventID: lastEvent}
+	arrival := &Arrival{Target: r.ID, ID: id, At: time.Now(), Version: r.Version, LastEventID: lastEvent}
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival)
 	number := len(r.arrivals)
@@ -180,8 +180,8 @@
 		}
 	}
 	if reject != nil && reject(req) {
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("X-Instance-Load", r.load())
+		w.Header().Set(named("{not-run}"), "1")
+		w.Header().Set(named("{load}"), r.load())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -204,8 +204,8 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	r.mu.Unlock()
-	w.Header().Set("X-Response-Stamp", stamp(r.ID, id))
-	w.Header().Set("X-Instance-Load", r.load())
+	w.Header().Set(named("{stamp}"), stamp(r.ID, id))
+	w.Header().Set(named("{load}"), r.load())
 	w.Header().Set("X-Weight-Versions", "1")
 	if r.Events > 0 {
 		r.stream(w, req, arrival)
@@ -219,9 +219,9 @@
 	r.mu.Unlock()
 }
 
-func (r *Runner) load() string { return fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots) }
+func (r *Target) load() string { return fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots) }
 
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, arrival *Arrival) {
+func (r *Target) stream(w http.ResponseWriter, req *http.Request, arrival *Arrival) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for event := arrival.LastEventID + 1; event <= r.Events; event++ {
@@ -242,8 +242,8 @@
 	r.mu.Unlock()
 }
 
-func stamp(runner, id string) string {
-	return fmt.Sprintf("3e1b.07.%08x", crc32.ChecksumIEEE([]byte(runner+id)))
+func stamp(target, id string) string {
+	return fmt.Sprintf("3e1b.07.%08x", crc32.ChecksumIEEE([]byte(target+id)))
 }
 
 func answerBody(id string) string { return "answer to " + id + strings.Repeat(".", 700) }
--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -1,5 +1,5 @@
 // Command review3 plays the cases of the third review: the daemons of the deploy file as separate
-// processes, before stand-ins for the store, the runners and the clients.
+// processes, before stand-ins for the store, the targets and the clients.
 package main
 
 import (
@@ -82,7 +82,7 @@
 	Record  *Record
 	Store   *Store
 	Daemons []*Daemon
-	Runners []*Runner
+	Targets []*Target
 	Dir     string
 	net     string // first three bytes of the addresses
 	nextIP  int
@@ -94,9 +94,9 @@
 }
 
 const (
-	hostName = "ficu95.example"
-	key      = "n2ctnfzs989anu6wsjnb"
-	tenant   = "hule930"
+	hostName  = "ficu95.example"
+	key       = "n2ctnfzs989anu6wsjnb"
+	workspace = "hule930"
 )
 
 func newWorld(record *Record) *World {
@@ -124,14 +124,14 @@
 	return listener.Addr().String()
 }
 
-// AddRunner adds a runner and starts it.
-func (w *World) AddRunner(r *Runner) *Runner {
+// AddTarget adds a target and starts it.
+func (w *World) AddTarget(r *Target) *Target {
 	r.world, r.Addr = w, w.ip()+":0"
 	if r.Slots == 0 {
 		r.Slots = 64
 	}
 	r.Start()
-	w.Runners = append(w.Runners, r)
+	w.Targets = append(w.Targets, r)
 	return r
 }
 
@@ -153,17 +153,17 @@
 // writeSettings writes the settings of a daemon, which are those of smc-quotes.
 func (w *World) writeSettings(d *Daemon, bootstrap bool) {
 	zones := map[string]bool{}
-	lines := []string{"nodeName=" + d.Name, "role=gateway", "machineClass=front", "serves=front,control", "ip=" + d.IP, "zone=" + d.Zone, "region=pk-central"}
+	lines := []string{named("{node}=") + d.Name, "role=gateway", "machineClass=front", "serves=front,control", "ip=" + d.IP, "zone=" + d.Zone, "region=pk-central"}
 	for _, other := range w.Daemons {
 		if !zones[other.Zone] {
 			zones[other.Zone] = true
 			lines = append(lines, "zones."+other.Zone+"=pk-central")
 		}
 	}
-	lines = append(lines, "listen.front="+d.Front, "listen.ready="+d.Ready, "listen.control="+d.Control, "portRange=7340,7355",
+	lines = append(lines, "listen.front="+d.Front, "listen.ready="+d.Ready, "listen.control="+d.Control, named("{ports}=7340,7355"),
 		"seeds="+strings.Join(w.seeds, ","), fmt.Sprint("bootstrap=", bootstrap), "lossCounts=false",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0", "limits.diskMb=0",
-		"discovery=platform", "entry=vip", "beatMs=1200", "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
+		"discovery=platform", "entry=vip", "beatMs=1200", named("contracts=base,drain,config,cost,retry,recover,engine,stream,{workspace}s,platform"),
 		"faultTolerance.machines=1", "faultTolerance.zones=1", "faultTolerance.regions=0",
 		"bounds.seedLagS=3", "bounds.reuseAfterS=2", "bounds.contactMs=3000", "bounds.ackMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000",
 		"bounds.graceS=8", "bounds.lossSlackMs=200", "bounds.configApplyMs=2000", "bounds.rollbackSlackMs=250", "bounds.maxStretchMs=5000",
@@ -182,7 +182,7 @@
 		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, w.Descriptors)}, command...)
 	}
 	d.cmd = exec.Command(command[0], command[1:]...)
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.Dir, "HEMLOCKKNOT_SETTINGS=" + d.settings}
+	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.Dir, named("{settings}=") + d.settings}
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if d.log == nil {
 		d.log = must1(os.Create(filepath.Join(w.Dir, d.Name+".log")))
@@ -207,7 +207,7 @@
 // AwaitReady waits until a daemon says that it is ready. The case cannot run without that.
 func (w *World) AwaitReady(d *Daemon, limit time.Duration) {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		response, err := d.client.Get("http://" + d.Ready + "/-/ready")
+		response, err := d.client.Get("http://" + d.Ready + named("{internal}ready"))
 		if err != nil {
 			continue
 		}
@@ -229,7 +229,7 @@
 			<-d.done
 		}
 	}
-	for _, r := range w.Runners {
+	for _, r := range w.Targets {
 		r.Stop()
 	}
 	w.Record.Close()
@@ -277,8 +277,8 @@
 	request := must1(http.NewRequest(call.Method, "http://"+d.Front+call.Path, strings.NewReader(call.Body)))
 	request.Host = hostName
 	request.Header.Set("X-Request-Id", sent.ID)
-	request.Header.Set("X-Key", key)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(call.DeadlineMs))
+	request.Header.Set(named("{key}"), key)
+	request.Header.Set(named("{deadline}"), fmt.Sprint(call.DeadlineMs))
 	for name, value := range call.Header {
 		request.Header.Set(name, value)
 	}
@@ -293,7 +293,7 @@
 		return sent
 	}
 	defer response.Body.Close()
-	sent.HeadAt, sent.Status, sent.Stamp = time.Now(), response.StatusCode, response.Header.Get("X-Response-Stamp")
+	sent.HeadAt, sent.Status, sent.Stamp = time.Now(), response.StatusCode, response.Header.Get(named("{stamp}"))
 	sent.Signed = sent.Stamp != ""
 	sent.Leaving = response.Header.Get("Server-Leaving") == "1"
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
@@ -322,20 +322,20 @@
 // PutConfig writes a configuration.
 func (w *World) PutConfig(version int, routes []route, services []map[string]any) bool {
 	spec := map[string]any{"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "apiKeys": []string{key}, "priority": 1}}}
+		"limits":              map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		named("{workspace}s"): []any{map[string]any{"name": workspace, named("{keys}"): []string{key}, "priority": 1}}}
 	return w.Store.Put("config", "main", spec)
 }
 
 // streamRoute, bookingRoute and readRoute are routes like those of smc-quotes.
 func streamRoute(name, prefix, service string, attempts int, resumable bool) route {
-	return route{"name": name, "host": hostName, "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 12000, "latencyTargetMs": 600,
-		"priority": 0, "service": service, "maxAttempts": attempts, "allowAnonymous": false, "sticky": true, "resumable": resumable, "gapTargetMs": 300}
+	return route{"name": name, "host": hostName, named("{path-prefix}"): prefix, named("{route-kind}"): "streaming", "timeoutMs": 12000, named("{latency}"): 600,
+		"priority": 0, "service": service, named("{attempts}"): attempts, named("{anonymous}"): false, "sticky": true, "resumable": resumable, named("{gap}"): 300}
 }
 
 func plainRoute(name, prefix, kind, service string, attempts int) route {
-	return route{"name": name, "host": hostName, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 2000, "latencyTargetMs": 300,
-		"priority": 2, "service": service, "maxAttempts": attempts, "allowAnonymous": false, "sticky": false, "resumable": false}
+	return route{"name": name, "host": hostName, named("{path-prefix}"): prefix, named("{route-kind}"): kind, "timeoutMs": 2000, named("{latency}"): 300,
+		"priority": 2, "service": service, named("{attempts}"): attempts, named("{anonymous}"): false, "sticky": false, "resumable": false}
 }
 
 func modelService(name string) map[string]any {
